--- /dev/null
+++ b/packages/core/include/arbutusport/base/strong_value.hpp
@@ -0,0 +1,36 @@
+// Strong types for identifiers and units: values of different tags do not
+// mix, and none converts implicitly from a number.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+
+namespace arbutusport {
+
+template <class Tag, class Value>
+class strong_value {
+public:
+    using value_type = Value;
+
+    constexpr strong_value() = default;
+    constexpr explicit strong_value(Value value) : value_(value) {}
+
+    constexpr Value value() const { return value_; }
+
+    friend constexpr auto operator<=>(const strong_value&,
+                                      const strong_value&) = default;
+
+private:
+    Value value_{};
+};
+
+} // namespace arbutusport
+
+template <class Tag, class Value>
+struct std::hash<arbutusport::strong_value<Tag, Value>> {
+    std::size_t
+    operator()(const arbutusport::strong_value<Tag, Value>& it) const {
+        return std::hash<Value>{}(it.value());
+    }
+};
--- /dev/null
+++ b/packages/core/include/arbutusport/requests/request_broker.hpp
@@ -0,0 +1,147 @@
+// Reads the requests of owned flows: sessions, bindings, de-duplication,
+// admission, deadlines, retries, cancellation and drain.
+#pragma once
+
+#include <arbutusport/base/bytes.hpp>
+#include <arbutusport/base/endpoint.hpp>
+#include <arbutusport/base/ids.hpp>
+#include <arbutusport/base/time.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace arbutusport::requests {
+
+/// @brief Each guard can be switched off, so that tests can show that it is
+/// needed. All are on in production.
+struct guards {
+    bool deduplicate = true;
+    bool check_binding = true;
+    bool record_refusals = true;
+    bool match_exchanges = true;
+    bool recheck_deadlines = true;
+};
+
+struct broker_options {
+    process_id self;
+    incarnation run;
+    std::uint32_t slots = 2;
+    std::size_t max_queue = 16;
+    std::size_t max_sessions = 8192;
+    std::size_t max_dedup = 32'768;
+    duration binding_lifetime = std::chrono::seconds(300);
+    /// For requests without a deadline option.
+    duration default_deadline = std::chrono::seconds(30);
+    double retry_ratio = 0.1;
+    /// Signs bindings; drawn anew by each incarnation.
+    std::array<std::uint8_t, 16> binding_key{};
+    std::uint64_t seed = 0;
+    guards enabled;
+};
+
+/// @brief Send a datagram to the client of an owned flow.
+struct reply {
+    flow_key flow;
+    bytes datagram;
+    bool retransmission = false;
+};
+
+/// @brief Send a datagram to the upstream.
+struct to_upstream {
+    bytes datagram;
+};
+
+/// @brief Run an idempotent request at another host of the service.
+struct execute_elsewhere {
+    std::uint64_t exchange = 0;
+    bytes request;
+};
+
+/// @brief Answer another host's execute_elsewhere.
+struct execute_done {
+    process_id origin;
+    std::uint64_t exchange = 0;
+    bytes response;
+};
+
+/// @brief The binding names another host: pass the datagram on.
+struct pass_on {
+    process_id host;
+    flow_key flow;
+    bytes datagram;
+};
+
+/// @brief The session moves from one flow key to another.
+struct migrate_flow {
+    flow_key from;
+    flow_key to;
+};
+
+/// @brief The session has ended here; the flow may open elsewhere.
+struct release_flow {
+    flow_key flow;
+};
+
+/// @brief The upstream sheds (false) or accepts again (true).
+struct accepting {
+    bool value = true;
+};
+
+using broker_action =
+    std::variant<reply, to_upstream, execute_elsewhere, execute_done, pass_on,
+                 migrate_flow, release_flow, accepting>;
+using broker_actions = std::vector<broker_action>;
+
+struct broker_counters {
+    std::uint64_t requests = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t not_run = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t duplicates = 0;
+    std::uint64_t late = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t unmatched_answers = 0;
+    std::uint64_t malformed = 0;
+};
+
+class request_broker {
+public:
+    explicit request_broker(broker_options options);
+    ~request_broker();
+
+    /// @brief A datagram of an owned flow.
+    broker_actions on_client(const flow_key& flow, byte_view datagram,
+                             time_point now);
+    /// @brief A datagram from the upstream.
+    broker_actions on_upstream(byte_view datagram, time_point now);
+    /// @brief An idempotent request of another host, and the answer to ours.
+    broker_actions on_execute(process_id origin, std::uint64_t exchange,
+                              byte_view request, time_point now);
+    broker_actions on_execute_reply(std::uint64_t exchange, byte_view response,
+                                    time_point now);
+    /// @brief Deadlines, retransmissions, back-off, drain. Every 10 ms.
+    broker_actions on_tick(time_point now);
+
+    /// @brief The flow layer closed the flow.
+    void on_flow_closed(const flow_key& flow);
+    /// @brief Begins to drain; sessions end by notice at `deadline`.
+    void drain(time_point deadline);
+    /// @brief True when nothing is in progress and no session is open.
+    bool drained() const;
+
+    std::size_t sessions() const;
+    std::size_t running() const;
+    std::size_t queued() const;
+    const broker_counters& counters() const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace arbutusport::requests
--- /dev/null
+++ b/packages/core/include/arbutusport/routing/slot_table.hpp
@@ -0,0 +1,43 @@
+// The routing table of one service: a pure function of the service's hosts,
+// the same in every process at the same generation.
+#pragma once
+
+#include <arbutusport/base/endpoint.hpp>
+#include <arbutusport/base/ids.hpp>
+#include <arbutusport/records/records.hpp>
+#include <arbutusport/wire/packet.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace arbutusport::routing {
+
+inline constexpr std::size_t slot_count = 4096;
+inline constexpr std::size_t ranks_per_slot = wire::max_candidates;
+
+slot_index slot_of(const flow_key& flow);
+
+/// @brief Weighted rendezvous score of a host in a slot; the greatest ranks
+/// first. Independent of the other hosts.
+double score(slot_index slot, process_id host, double weight);
+
+class slot_table {
+public:
+    slot_table() = default;
+    /// @brief Ranks every host of `it` that is not `out`.
+    explicit slot_table(const records::service& it);
+
+    /// @brief Host indexes by rank into the service's `hosts`; shorter than
+    /// ranks_per_slot if the service has fewer hosts.
+    std::span<const std::uint16_t> ranks(slot_index slot) const;
+
+private:
+    // slot_count rows of `width_` host indexes.
+    std::vector<std::uint16_t> rows_;
+    std::size_t width_ = 0;
+};
+
+} // namespace arbutusport::routing
