--- a/packages/core/include/arbutusport/routing/entry_router.hpp
+++ b/packages/core/include/arbutusport/routing/entry_router.hpp
@@ -21,6 +21,8 @@
     process_id self;
     /// Where hosts send answers for this entry.
     endpoint packets;
+    /// At the limit, the hints unused for longest are dropped first, in
+    /// bulk; a packet without a hint takes one more hop.
     std::size_t max_hints = 500'000;
     /// A hint is dropped when `silent_packets` went through it and no answer
     /// came for this time.
@@ -77,6 +79,8 @@
     entry_action on_host(wire::packet message, time_point now);
 
     std::size_t hints() const;
+    /// @brief Bytes of the hint tables, unused buckets included.
+    std::size_t hint_memory() const;
 
 private:
     class impl;
