--- a/packages/core/include/arbutusport/flows/flow_owner.hpp
+++ b/packages/core/include/arbutusport/flows/flow_owner.hpp
@@ -18,12 +18,25 @@
 
 namespace arbutusport::flows {
 
+/// @brief Each guard can be switched off, so that tests can show that it is
+/// needed. All are on in production.
+struct flow_guards {
+    /// Asks peers that may own a flow although they are not ranked.
+    bool use_bitmaps = true;
+    /// Asks any peer before a flow opens.
+    bool query_owners = true;
+};
+
 struct flow_options {
     process_id self;
     service_id service;
+    /// At the limit, new flows open elsewhere, or are refused (table_full).
     std::size_t max_flows = 8192;
+    /// At either limit, the new packet is refused (held_full).
     std::size_t max_held_packets = 1024;
     std::size_t max_held_per_flow = 4;
+    /// At the limit, the redirects unused for longest are dropped first, in
+    /// bulk; the next packet of such a flow causes a query.
     std::size_t max_redirects = 32'768;
     duration query_timeout = std::chrono::milliseconds(40);
     std::uint32_t query_retries = 2;
@@ -37,6 +50,7 @@
     std::function<void(const flow_key&)> on_closed;
     /// Seeds the choice of an alternative entry.
     std::uint64_t seed = 0;
+    flow_guards enabled;
 };
 
 enum class drop_reason : std::uint8_t {
@@ -73,6 +87,8 @@
 using flow_action = std::variant<send_packet, deliver, drop_packet>;
 using flow_actions = std::vector<flow_action>;
 
+/// @brief Thread-safe: one lock around the tables of this host. Hooks are
+/// called under it and must not call back, except on_closed.
 class flow_owner {
 public:
     explicit flow_owner(flow_options options);
@@ -115,12 +131,19 @@
 
     bool owns(const flow_key& flow) const;
     std::size_t flow_count() const;
+    /// @brief Bytes of the flow and redirect tables, unused buckets included.
+    std::size_t memory() const;
     host_load load(time_point now) const;
     std::vector<flow_key> owned() const;
 
 private:
     class impl;
+
+    template <class Call>
+    auto locked(Call&& call);
+
     std::unique_ptr<impl> impl_;
+    std::function<void(const flow_key&)> on_closed_;
 };
 
 } // namespace arbutusport::flows
--- a/packages/core/include/arbutusport/wire/flow_messages.hpp
+++ b/packages/core/include/arbutusport/wire/flow_messages.hpp
@@ -59,12 +59,16 @@
 inline constexpr std::size_t holder_slots = 4096;
 using slot_bitmap = std::bitset<holder_slots>;
 
-/// @brief Body of `holders`: the slots in which the sender owns flows, or
-/// the acknowledgement that such a bitmap was taken.
+/// @brief Body of `holders`: the slots in which the sender owns flows. A host
+/// sends it unasked when the service's hosts change, and in reply to another
+/// host's.
 struct holders_body {
-    bool acknowledges = false;
+    bool is_reply = false;
     generation gen;
-    /// Empty in an acknowledgement.
+    /// Digest of the service's hosts at `gen`. Equal digests rank alike.
+    std::uint64_t hosts_digest = 0;
+    /// In a reply: the generation of the bitmap that was taken.
+    generation taken;
     slot_bitmap slots;
 };
 
--- /dev/null
+++ b/packages/core/src/flows/peer_cover.cpp
@@ -0,0 +1,178 @@
+// Bitmaps of the peers, announcements of the own one, and covers.
+
+#include "peer_cover.hpp"
+
+#include <arbutusport/base/hash.hpp>
+
+#include <algorithm>
+#include <bit>
+
+namespace arbutusport::flows {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr duration announcement_retry = milliseconds(40);
+// After this time a peer that took no announcement is held to be dead until
+// the membership says so, so that it does not block new flows. Covers a
+// round trip between data centres with several losses.
+constexpr duration announcement_timeout = milliseconds(500);
+constexpr duration late_announcement_retry = milliseconds(1000);
+// Peers that sent a bitmap but are not in this process's configuration.
+constexpr std::size_t max_unconfigured = 1024;
+
+std::uint64_t digest_of(const records::service& service) {
+    std::uint64_t digest = 0;
+    for (const auto& it : service.hosts) {
+        digest = hash_combine(digest, it.id.value());
+        digest = hash_combine(digest, std::uint64_t{it.packets.address} << 16 |
+                                          it.packets.port);
+        digest = hash_combine(digest, std::bit_cast<std::uint64_t>(it.weight));
+        digest = hash_combine(digest, static_cast<std::uint64_t>(it.state));
+    }
+    // 0 stands for "no hosts adopted yet".
+    return digest == 0 ? 1 : digest;
+}
+
+} // namespace
+
+void peer_cover::set_service(const records::service& service, generation gen,
+                             time_point now) {
+    const std::uint64_t digest = digest_of(service);
+    if (digest == digest_)
+        return;
+    digest_ = digest;
+    auto next = std::make_shared<ranking>();
+    next->table = routing::slot_table(service);
+    for (auto& [id, it] : peers_)
+        it.is_configured = false;
+    for (const auto& host : service.hosts) {
+        next->hosts.push_back({host.id, host.packets});
+        if (host.id == self_)
+            continue;
+        auto& it = peers_[host.id];
+        it.address = next->hosts.back();
+        it.is_configured = host.state != records::host_state::out;
+    }
+    current_ = std::move(next);
+    announce(gen, now);
+}
+
+void peer_cover::announce(generation gen, time_point now) {
+    announced_gen_ = gen;
+    announced_at_ = now;
+    next_announcement_ = now;
+    for (auto& [id, it] : peers_)
+        it.has_taken = false;
+    settle();
+}
+
+void peer_cover::forget_bitmaps() {
+    for (auto& [id, it] : peers_)
+        it.gen.reset();
+}
+
+bool peer_cover::on_holders(const wire::candidate& from,
+                            const wire::holders_body& body) {
+    auto found = peers_.find(from.id);
+    if (found == peers_.end()) {
+        const auto n = std::ranges::count_if(
+            peers_, [](const auto& it) { return !it.second.is_configured; });
+        if (static_cast<std::size_t>(n) >= max_unconfigured)
+            return false;
+        found = peers_.try_emplace(from.id).first;
+        found->second.address = from;
+        found->second.is_configured = false;
+        // It is asked for every flow until its bitmap matches.
+        found->second.has_taken = true;
+    }
+    peer& it = found->second;
+    if (body.is_reply && body.taken >= announced_gen_)
+        it.has_taken = true;
+    if (!it.gen || body.gen > *it.gen) {
+        it.gen = body.gen;
+        it.digest = body.hosts_digest;
+        it.slots = body.slots;
+    } else if (body.gen == *it.gen) {
+        // Within a generation bits are only added, so that a late copy of
+        // an earlier bitmap removes nothing.
+        it.slots |= body.slots;
+    }
+    settle();
+    return true;
+}
+
+std::vector<wire::candidate> peer_cover::due(time_point now) {
+    std::vector<wire::candidate> out;
+    if (!current_ || now < next_announcement_)
+        return out;
+    const bool late = now - announced_at_ >= announcement_timeout;
+    next_announcement_ =
+        now + (late ? late_announcement_retry : announcement_retry);
+    if (late)
+        settled_ = current_;
+    for (const auto& [id, it] : peers_)
+        if (!it.has_taken && !is_down(id))
+            out.push_back(it.address);
+    settle();
+    return out;
+}
+
+std::vector<wire::candidate> peer_cover::cover(slot_index slot) const {
+    std::vector<wire::candidate> out;
+    for (const auto& [id, it] : peers_) {
+        if (is_down(id))
+            continue;
+        const bool may_hold =
+            use_bitmaps_ &&
+            (!it.gen || it.digest != digest_ || it.slots[slot.value()]);
+        if (may_hold || (current_ && ranks(*current_, slot, id)))
+            out.push_back(it.address);
+    }
+    return out;
+}
+
+void peer_cover::on_silent(process_id peer) {
+    const auto it = peers_.find(peer);
+    if (it != peers_.end() && !it->second.is_configured)
+        peers_.erase(it);
+}
+
+bool peer_cover::may_open(slot_index slot) const {
+    return is_ranked(slot) && settled_ &&
+           (settled_ == current_ || ranks(*settled_, slot, self_));
+}
+
+bool peer_cover::is_ranked(slot_index slot) const {
+    return current_ && ranks(*current_, slot, self_);
+}
+
+wire::candidate_list peer_cover::ranked(slot_index slot) const {
+    wire::candidate_list out;
+    if (current_)
+        for (const auto index : current_->table.ranks(slot))
+            out.push_back(current_->hosts[index]);
+    return out;
+}
+
+bool peer_cover::ranks(const ranking& it, slot_index slot,
+                       process_id id) const {
+    return std::ranges::any_of(it.table.ranks(slot), [&](auto index) {
+        return it.hosts[index].id == id;
+    });
+}
+
+bool peer_cover::all_have_taken() const {
+    return std::ranges::all_of(peers_, [&](const auto& it) {
+        return it.second.has_taken || !it.second.is_configured ||
+               is_down(it.first);
+    });
+}
+
+void peer_cover::settle() {
+    if (current_ && all_have_taken())
+        settled_ = current_;
+}
+
+} // namespace arbutusport::flows
--- a/packages/core/src/wire/flow_messages.cpp
+++ b/packages/core/src/wire/flow_messages.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/endian/buffers.hpp>
 
+#include <array>
 #include <bit>
 #include <cmath>
 #include <cstring>
@@ -44,17 +45,19 @@
 
 struct wire_holders {
     endian::big_uint8_buf_t version;
-    endian::big_uint8_buf_t acknowledges;
+    endian::big_uint8_buf_t is_reply;
     endian::big_uint32_buf_t epoch;
     endian::big_uint64_buf_t revision;
+    endian::big_uint64_buf_t hosts_digest;
+    endian::big_uint32_buf_t taken_epoch;
+    endian::big_uint64_buf_t taken_revision;
+    std::array<std::uint8_t, holder_slots / 8> slots;
 };
 
 static_assert(sizeof(wire_query) == 17);
 static_assert(sizeof(wire_query_reply) == 45);
 static_assert(sizeof(wire_place) == 18);
-static_assert(sizeof(wire_holders) == 14);
-
-constexpr std::size_t bitmap_bytes = holder_slots / 8;
+static_assert(sizeof(wire_holders) == 34 + holder_slots / 8);
 
 enum reply_flag : std::uint8_t {
     flag_eligible = 1,
@@ -158,38 +161,33 @@
 }
 
 bytes encode(const holders_body& it) {
-    wire_holders header;
-    header.version = body_version;
-    header.acknowledges = it.acknowledges ? 1 : 0;
-    header.epoch = it.gen.epoch;
-    header.revision = it.gen.revision;
-    bytes out = to_bytes(header);
-    if (it.acknowledges)
-        return out;
-    out.resize(sizeof header + bitmap_bytes);
+    wire_holders out;
+    out.version = body_version;
+    out.is_reply = it.is_reply ? 1 : 0;
+    out.epoch = it.gen.epoch;
+    out.revision = it.gen.revision;
+    out.hosts_digest = it.hosts_digest;
+    out.taken_epoch = it.taken.epoch;
+    out.taken_revision = it.taken.revision;
+    out.slots.fill(0);
     for (std::size_t i = 0; i < holder_slots; ++i)
         if (it.slots[i])
-            out[sizeof header + i / 8] |=
-                static_cast<std::uint8_t>(1U << (i % 8));
-    return out;
+            out.slots[i / 8] |= static_cast<std::uint8_t>(1U << (i % 8));
+    return to_bytes(out);
 }
 
 result<holders_body> decode_holders(byte_view data) {
     const char* step = "decode_holders";
-    if (data.size() < sizeof(wire_holders))
-        return fail(step, "", "length");
-    BOOST_LEAF_AUTO(in,
-                    read<wire_holders>(data.first(sizeof(wire_holders)), step));
-    if (in.acknowledges.value() > 1)
+    BOOST_LEAF_AUTO(in, read<wire_holders>(data, step));
+    if (in.is_reply.value() > 1)
         return fail(step, "", "range");
     holders_body it;
-    it.acknowledges = in.acknowledges.value() == 1;
+    it.is_reply = in.is_reply.value() == 1;
     it.gen = {in.epoch.value(), in.revision.value()};
-    const byte_view rest = data.subspan(sizeof(wire_holders));
-    if (rest.size() != (it.acknowledges ? 0 : bitmap_bytes))
-        return fail(step, "", "length");
-    for (std::size_t i = 0; i < rest.size() * 8; ++i)
-        it.slots[i] = (rest[i / 8] >> (i % 8) & 1) != 0;
+    it.hosts_digest = in.hosts_digest.value();
+    it.taken = {in.taken_epoch.value(), in.taken_revision.value()};
+    for (std::size_t i = 0; i < holder_slots; ++i)
+        it.slots[i] = (in.slots[i / 8] >> (i % 8) & 1) != 0;
     return it;
 }
 
