Add the node layer: arbutusd, scenarios and replay drive one object

Each role needs the same wiring of membership, configuration, flows and requests. Keeping it in the decision library, without sockets or a clock, lets scenarios and trace replay test the wiring that the daemon runs. The daemon carries out node::outputs and holds the locks.

--- /dev/null
+++ b/packages/core/include/arbutusport/node/entry_node.hpp
@@ -0,0 +1,39 @@
+// All decisions of an entry process.
+#pragma once
+
+#include <arbutusport/node/control_plane.hpp>
+#include <arbutusport/node/outputs.hpp>
+#include <arbutusport/routing/entry_router.hpp>
+
+namespace arbutusport::node {
+
+struct entry_node_options {
+    process_id self;
+    incarnation run;
+    std::string data_centre;
+    std::vector<endpoint> seeds;
+    std::uint64_t seed = 0;
+    routing::entry_options router;
+};
+
+/// @brief on_client() and on_packet() for `answer` packets may be called by
+/// many workers at once; the caller serialises everything else.
+class entry_node {
+public:
+    explicit entry_node(entry_node_options options);
+
+    output on_client(const flow_key& flow, byte_view datagram, time_point now);
+    outputs on_packet(wire::packet message, const endpoint& from,
+                      time_point now);
+    outputs on_tick(time_point now) { return control_.on_tick(now); }
+
+    control_plane& control() { return control_; }
+    const control_plane& control() const { return control_; }
+    const routing::entry_router& router() const { return router_; }
+
+private:
+    control_plane control_;
+    routing::entry_router router_;
+};
+
+} // namespace arbutusport::node
--- /dev/null
+++ b/packages/core/include/arbutusport/node/host_node.hpp
@@ -0,0 +1,73 @@
+// All decisions of the process beside an upstream. Adapters, scenarios and
+// trace replay drive this one object.
+#pragma once
+
+#include <arbutusport/flows/flow_owner.hpp>
+#include <arbutusport/node/control_plane.hpp>
+#include <arbutusport/node/outputs.hpp>
+#include <arbutusport/requests/request_broker.hpp>
+
+#include <optional>
+
+namespace arbutusport::node {
+
+struct host_node_options {
+    process_id self;
+    incarnation run;
+    service_id service;
+    std::string data_centre;
+    std::vector<endpoint> seeds;
+    std::uint64_t seed = 0;
+    flows::flow_options flows;
+    requests::broker_options requests;
+    /// Overrides the record's drain time-out.
+    std::optional<duration> drain_timeout;
+};
+
+/// @brief Not thread-safe; the caller serialises all calls.
+class host_node {
+public:
+    explicit host_node(host_node_options options);
+
+    /// @brief A verified packet from another process.
+    outputs on_packet(wire::packet message, const endpoint& from,
+                      time_point now);
+    outputs on_upstream(byte_view datagram, time_point now);
+    /// @brief Call every 10 ms.
+    outputs on_tick(time_point now);
+
+    /// @brief For the configuration inputs; pass their outputs on.
+    control_plane& control() { return control_; }
+    const control_plane& control() const { return control_; }
+
+    /// @brief The platform's list of instances.
+    outputs on_instances(const std::vector<listed_instance>& list,
+                         time_point now);
+    /// @brief Begins a planned stop.
+    outputs drain(time_point now);
+    bool draining() const { return draining_; }
+    bool drained() const { return draining_ && broker_.drained(); }
+
+    const flows::flow_owner& flows() const { return flows_; }
+    const requests::request_broker& broker() const { return broker_; }
+
+private:
+    outputs on_config(const records::snapshot_ptr& snapshot, time_point now);
+    outputs on_execute(const wire::packet& message, time_point now);
+    outputs convert(flows::flow_actions actions, time_point now);
+    outputs convert(requests::broker_actions actions, time_point now);
+    void apply(requests::broker_action action, outputs& out, time_point now);
+    void execute_at_peer(const requests::execute_elsewhere& it, outputs& out);
+    void reply_to_peer(const requests::execute_done& it, outputs& out) const;
+    const records::host* find_host(process_id id) const;
+
+    host_node_options options_;
+    control_plane control_;
+    flows::flow_owner flows_;
+    requests::request_broker broker_;
+    // Rotates the choice of a peer for retries.
+    std::uint64_t next_peer_ = 0;
+    bool draining_ = false;
+};
+
+} // namespace arbutusport::node
