--- a/packages/core/src/wire/packet.cpp
+++ b/packages/core/src/wire/packet.cpp
@@ -65,8 +65,9 @@
 
 template <class Value>
 void append(const Value& it, bytes& out) {
-    const auto* data = reinterpret_cast<const std::uint8_t*>(&it);
-    out.insert(out.end(), data, data + sizeof it);
+    const auto start = out.size();
+    out.resize(start + sizeof it);
+    std::memcpy(out.data() + start, &it, sizeof it);
 }
 
 template <class Value>
