--- a/packages/runtime/src/adapters/proxy_header.cpp
+++ b/packages/runtime/src/adapters/proxy_header.cpp
@@ -63,8 +63,9 @@
     header.destination = flow.service.address;
     header.source_port = flow.client.port;
     header.destination_port = flow.service.port;
-    const auto* data = reinterpret_cast<const std::uint8_t*>(&header);
-    out.insert(out.end(), data, data + sizeof header);
+    const auto start = out.size();
+    out.resize(start + sizeof header);
+    std::memcpy(out.data() + start, &header, sizeof header);
 }
 
 } // namespace arbutusport::adapters
--- a/packages/runtime/src/settings/settings.cpp
+++ b/packages/runtime/src/settings/settings.cpp
@@ -3,7 +3,6 @@
 #include <arbutusport/settings/settings.hpp>
 
 #include <Poco/AutoPtr.h>
-#include <Poco/Exception.h>
 #include <Poco/String.h>
 #include <Poco/StringTokenizer.h>
 #include <Poco/Util/IniFileConfiguration.h>
@@ -28,25 +27,46 @@
     std::string value;
 };
 
-// Keeps every line in file order. POCO's own store would replace an earlier
-// value of the same key, so duplicates would go unnoticed.
-class ini_lines : public Poco::Util::IniFileConfiguration {
-public:
-    const std::vector<ini_entry>& entries() const { return entries_; }
-
-protected:
-    void setRaw(const std::string& key, const std::string& value) override {
-        const auto dot = key.find('.');
-        if (dot == std::string::npos)
-            entries_.push_back({"", key, value});
-        else
-            entries_.push_back(
-                {key.substr(0, dot), key.substr(dot + 1), value});
+// Descends to the only key of a configuration; empty if there is none.
+std::string only_key(const Poco::Util::AbstractConfiguration& it) {
+    std::string full;
+    Poco::Util::AbstractConfiguration::Keys names;
+    for (it.keys(names); !names.empty(); it.keys(full, names)) {
+        full += (full.empty() ? "" : ".") + names.front();
+        names.clear();
     }
+    return full;
+}
 
-private:
-    std::vector<ini_entry> entries_;
-};
+bool is_section_line(const std::string& line) {
+    return Poco::trimLeft(line).starts_with('[');
+}
+
+// Parses line by line, each behind the header of its section: POCO's store
+// replaces an earlier value of the same key, so a parse of the whole text
+// would not show duplicates.
+std::vector<ini_entry> parse_lines(std::istream& in) {
+    std::vector<ini_entry> entries;
+    std::string section_line;
+    for (std::string line; std::getline(in, line);) {
+        if (is_section_line(line)) {
+            section_line = line;
+            continue;
+        }
+        std::istringstream text(section_line + "\n" + line + "\n");
+        const Poco::AutoPtr<Poco::Util::IniFileConfiguration> parsed(
+            new Poco::Util::IniFileConfiguration(text));
+        const auto full = only_key(*parsed);
+        if (full.empty())
+            continue;
+        const auto dot = full.find('.');
+        const bool in_section = dot != std::string::npos;
+        entries.push_back({in_section ? full.substr(0, dot) : "",
+                           in_section ? full.substr(dot + 1) : full,
+                           parsed->getRawString(full)});
+    }
+    return entries;
+}
 
 enum class applies_to : std::uint8_t { both, entry, host };
 
@@ -317,14 +337,8 @@
 
 result<process_settings> parse_settings(const std::string& text,
                                         const std::string& name) {
-    Poco::AutoPtr<ini_lines> lines(new ini_lines);
     std::istringstream in(text);
-    try {
-        lines->load(in);
-    } catch (const Poco::Exception& it) {
-        return fail("read_settings", name, it.displayText());
-    }
-    const auto& entries = lines->entries();
+    const auto entries = parse_lines(in);
     process_settings out;
     BOOST_LEAF_CHECK(check_names(name, entries));
     BOOST_LEAF_CHECK(read_values(name, entries, out));
--- /dev/null
+++ b/packages/runtime/src/telemetry/metrics.cpp
@@ -0,0 +1,124 @@
+// Metrics and their text form.
+
+#include <arbutusport/telemetry/metrics.hpp>
+
+#include <array>
+#include <sstream>
+
+namespace arbutusport::telemetry {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+// Estimated in this order.
+constexpr std::array<double, 3> probabilities{0.5, 0.9, 0.99};
+// The estimator has 2n+3 markers; below this count it has no quantiles yet.
+constexpr std::uint64_t least_samples = 2 * probabilities.size() + 3;
+
+counter& find_or_create(std::map<std::string, std::unique_ptr<counter>>& map,
+                        const std::string& name) {
+    auto& slot = map[name];
+    if (!slot)
+        slot = std::make_unique<counter>(0);
+    return *slot;
+}
+
+void write_type(std::ostream& out, const std::string& name, const char* type) {
+    out << "# TYPE " << name << ' ' << type << '\n';
+}
+
+void write_latency(std::ostream& out, const std::string& name,
+                   const latency_statistics::summary& it) {
+    write_type(out, name, "summary");
+    out << name << "{quantile=\"0.5\"} " << it.median_ms << '\n'
+        << name << "{quantile=\"0.9\"} " << it.p90_ms << '\n'
+        << name << "{quantile=\"0.99\"} " << it.p99_ms << '\n'
+        << name << "_sum " << it.mean_ms * static_cast<double>(it.count) << '\n'
+        << name << "_count " << it.count << '\n';
+}
+
+} // namespace
+
+latency_statistics::latency_statistics()
+    : set_(acc::extended_p_square_probabilities = probabilities) {}
+
+void latency_statistics::add(duration latency) {
+    const double ms = static_cast<double>(latency.count()) / 1000.0;
+    const std::lock_guard lock(mutex_);
+    set_(ms);
+}
+
+latency_statistics::summary latency_statistics::read() const {
+    const std::lock_guard lock(mutex_);
+    summary out;
+    out.count = acc::count(set_);
+    if (out.count == 0)
+        return out;
+    out.mean_ms = acc::mean(set_);
+    out.max_ms = acc::max(set_);
+    if (out.count < least_samples) {
+        out.median_ms = out.mean_ms;
+        out.p90_ms = out.p99_ms = out.max_ms;
+        return out;
+    }
+    const auto quantiles = acc::extended_p_square(set_);
+    out.median_ms = quantiles[0];
+    out.p90_ms = quantiles[1];
+    out.p99_ms = quantiles[2];
+    return out;
+}
+
+counter& metrics::count(const std::string& name) {
+    const std::lock_guard lock(mutex_);
+    return find_or_create(counters_, name);
+}
+
+counter& metrics::drops(const std::string& reason) {
+    const std::lock_guard lock(mutex_);
+    return find_or_create(drops_, reason);
+}
+
+void metrics::gauge(const std::string& name, std::function<double()> read) {
+    const std::lock_guard lock(mutex_);
+    gauges_[name] = std::move(read);
+}
+
+latency_statistics& metrics::latency(const std::string& name) {
+    const std::lock_guard lock(mutex_);
+    auto& slot = latencies_[name];
+    if (!slot)
+        slot = std::make_unique<latency_statistics>();
+    return *slot;
+}
+
+std::map<std::string, std::uint64_t> metrics::drops_by_reason() const {
+    const std::lock_guard lock(mutex_);
+    std::map<std::string, std::uint64_t> out;
+    for (const auto& [reason, n] : drops_)
+        out[reason] = n->load(std::memory_order_relaxed);
+    return out;
+}
+
+std::string metrics::text() const {
+    const std::lock_guard lock(mutex_);
+    std::ostringstream out;
+    out.precision(15);
+    for (const auto& [name, n] : counters_) {
+        write_type(out, name, "counter");
+        out << name << ' ' << *n << '\n';
+    }
+    write_type(out, "arbutus_drops_total", "counter");
+    for (const auto& [reason, n] : drops_)
+        out << "arbutus_drops_total{reason=\"" << reason << "\"} " << *n
+            << '\n';
+    for (const auto& [name, read] : gauges_) {
+        write_type(out, name, "gauge");
+        out << name << ' ' << read() << '\n';
+    }
+    for (const auto& [name, it] : latencies_)
+        write_latency(out, name, it->read());
+    return out.str();
+}
+
+} // namespace arbutusport::telemetry
--- /dev/null
+++ b/packages/runtime/src/telemetry/slo_burn.cpp
@@ -0,0 +1,144 @@
+// Error budgets over windows of whole minutes.
+
+#include <arbutusport/telemetry/slo_burn.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace arbutusport::telemetry {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::hours;
+
+constexpr std::array all_objectives{objective::flows_kept,
+                                    objective::requests_served,
+                                    objective::requests_in_time};
+static_assert(all_objectives.size() == objective_count);
+
+// Bounds the rate of an objective of 1, whose budget is zero.
+constexpr double least_budget = 1e-9;
+
+std::size_t index_of(objective it) {
+    return static_cast<std::size_t>(it);
+}
+
+std::int64_t minute_of(time_point it) {
+    return std::chrono::floor<std::chrono::minutes>(it.time_since_epoch())
+        .count();
+}
+
+burn_rates rates_of(const event_ring& events, double target, time_point now) {
+    const double budget = std::max(1.0 - target, least_budget);
+    const auto burn = [&](duration window) {
+        return events.sum(window, now).bad_ratio() / budget;
+    };
+    return {burn(std::chrono::minutes(5)), burn(hours(1)),
+            burn(std::chrono::minutes(30)), burn(hours(6))};
+}
+
+json describe(objective which, const event_ring& events, double target,
+              time_point now) {
+    const auto totals = events.sum(hours(6), now);
+    const auto burn = rates_of(events, target, now);
+    return {{"name", to_string(which)},
+            {"target", target},
+            {"good_6h", totals.good},
+            {"bad_6h", totals.bad},
+            {"burn",
+             {{"5m", burn.over_5_min},
+              {"1h", burn.over_1_h},
+              {"30m", burn.over_30_min},
+              {"6h", burn.over_6_h}}},
+            {"alert", burn.fast()   ? "fast"
+                      : burn.slow() ? "slow"
+                                    : "none"}};
+}
+
+} // namespace
+
+const char* to_string(objective it) {
+    switch (it) {
+    case objective::flows_kept:
+        return "flows_kept";
+    case objective::requests_served:
+        return "requests_served";
+    case objective::requests_in_time:
+        break;
+    }
+    return "requests_in_time";
+}
+
+double event_ring::totals::bad_ratio() const {
+    const auto all = static_cast<double>(good) + static_cast<double>(bad);
+    return all == 0 ? 0 : static_cast<double>(bad) / all;
+}
+
+void event_ring::add(std::uint64_t good, std::uint64_t bad, time_point now) {
+    const auto minute = minute_of(now);
+    auto& it = buckets_[static_cast<std::size_t>(minute) % minutes];
+    if (it.minute != minute)
+        it = {minute, {}};
+    it.counts.good += good;
+    it.counts.bad += bad;
+}
+
+event_ring::totals event_ring::sum(duration window, time_point now) const {
+    const auto last = minute_of(now);
+    const auto first =
+        last -
+        std::chrono::duration_cast<std::chrono::minutes>(window).count() + 1;
+    totals out;
+    for (const bucket& it : buckets_)
+        if (it.minute >= first && it.minute <= last) {
+            out.good += it.counts.good;
+            out.bad += it.counts.bad;
+        }
+    return out;
+}
+
+void slo_burn::set_snapshot(const records::snapshot& it) {
+    std::map<std::string, tracked> next;
+    for (const records::service& service : it.services) {
+        auto& slot = next[service.name];
+        if (const auto old = services_.find(service.name);
+            old != services_.end())
+            slot = std::move(old->second);
+        slot.targets = {service.goals.flows_kept, service.goals.requests_served,
+                        service.goals.requests_in_time};
+    }
+    services_ = std::move(next);
+}
+
+void slo_burn::add(const std::string& service, objective which,
+                   std::uint64_t good, std::uint64_t bad, time_point now) {
+    const auto it = services_.find(service);
+    if (it != services_.end())
+        it->second.events[index_of(which)].add(good, bad, now);
+}
+
+burn_rates slo_burn::rates(const std::string& service, objective which,
+                           time_point now) const {
+    const auto it = services_.find(service);
+    if (it == services_.end())
+        return {};
+    const auto i = index_of(which);
+    return rates_of(it->second.events[i], it->second.targets[i], now);
+}
+
+std::string slo_burn::to_json(time_point now) const {
+    json list = json::array();
+    for (const auto& [name, it] : services_) {
+        json goals = json::array();
+        for (const objective which : all_objectives) {
+            const auto i = index_of(which);
+            goals.push_back(describe(which, it.events[i], it.targets[i], now));
+        }
+        list.push_back({{"name", name}, {"objectives", std::move(goals)}});
+    }
+    return json{{"services", std::move(list)}}.dump();
+}
+
+} // namespace arbutusport::telemetry
