--- /dev/null
+++ b/packages/core/src/records/parse.cpp
@@ -0,0 +1,225 @@
+// Reads each kind of record into the typed configuration.
+
+#include "field_reader.hpp"
+#include "set_check.hpp"
+
+#include <arbutusport/records/parse.hpp>
+
+#include <algorithm>
+
+namespace arbutusport::records {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint64_t newest_schema = 2;
+constexpr std::uint64_t max_drain_s = 24 * 3600;
+constexpr std::uint64_t max_slow_start_s = 3600;
+constexpr std::uint64_t max_latency_ms = 60'000;
+constexpr double max_weight = 1000;
+constexpr std::size_t secret_hex_size = 32;
+
+host_state read_host_state(field_reader& read, const node& in) {
+    const std::string state = read.optional_text(in, "state");
+    if (state == "draining")
+        return host_state::draining;
+    if (state == "out")
+        return host_state::out;
+    if (!state.empty() && state != "active")
+        read.reject(join_path(in.path, "state"), '"' + state + '"',
+                    "active, draining or out");
+    return host_state::active;
+}
+
+host read_host(field_reader& read, const node& in, std::uint64_t schema) {
+    host it;
+    it.name = read.text(in, "name");
+    it.id = process_id_of(it.name);
+    it.data_centre = read.text(in, "data_centre");
+    it.packets = read.address(in, "packets");
+    it.control = read.address(in, "control");
+    if (schema >= 2) {
+        read.optional_number(in, "weight", 0, max_weight, it.weight);
+        it.state = read_host_state(read, in);
+    }
+    return it;
+}
+
+host_limits read_limits(field_reader& read, const node& in) {
+    host_limits it;
+    const json* object = read.optional_object(in, "limits");
+    if (!object)
+        return it;
+    const node limits{*object, "limits"};
+    read.optional_integer(limits, "slots", 1, 1024, it.slots);
+    read.optional_integer(limits, "connections", 1, 1'000'000, it.connections);
+    read.optional_integer(limits, "queue", 0, 65'535, it.queue);
+    return it;
+}
+
+objectives read_objectives(field_reader& read, const node& in) {
+    objectives it;
+    const json* object = read.optional_object(in, "objectives");
+    if (!object)
+        return it;
+    const node goals{*object, "objectives"};
+    read.optional_number(goals, "flows_kept", 0, 1, it.flows_kept);
+    read.optional_number(goals, "requests_served", 0, 1, it.requests_served);
+    read.optional_number(goals, "requests_in_time", 0, 1, it.requests_in_time);
+    std::uint32_t latency_ms = 250;
+    read.optional_integer(goals, "latency_ms", 1, max_latency_ms, latency_ms);
+    it.latency = std::chrono::milliseconds(latency_ms);
+    return it;
+}
+
+void read_service(field_reader& read, const node& in, std::uint64_t schema,
+                  parsed_set& set) {
+    service it;
+    it.name = read.text(in, "name");
+    it.id = service_id_of(it.name);
+    it.organisation = read.text(in, "organisation");
+    it.address = read.address(in, "address");
+    it.limits = read_limits(read, in);
+    it.goals = read_objectives(read, in);
+    std::uint32_t drain_s = 1800;
+    std::uint32_t slow_start_s = 30;
+    read.optional_integer(in, "drain_timeout_s", 0, max_drain_s, drain_s);
+    read.optional_integer(in, "slow_start_s", 0, max_slow_start_s,
+                          slow_start_s);
+    it.drain_timeout = std::chrono::seconds(drain_s);
+    it.slow_start = std::chrono::seconds(slow_start_s);
+    for (const node& member : read.objects(in, "hosts", true))
+        it.hosts.push_back(read_host(read, member, schema));
+    set.out.services.push_back(std::move(it));
+}
+
+void read_entries(field_reader& read, const node& in, const std::string& key,
+                  parsed_set& set) {
+    const std::string data_centre = read.text(in, "data_centre");
+    const std::string region = read.text(in, "region");
+    for (const node& member : read.objects(in, "entries", true)) {
+        entry it;
+        it.name = read.text(member, "name");
+        it.id = process_id_of(it.name);
+        it.data_centre = data_centre;
+        it.region = region;
+        it.packets = read.address(member, "packets");
+        it.control = read.address(member, "control");
+        set.out.entries.push_back(std::move(it));
+        set.entry_places.push_back({key, member.path});
+    }
+}
+
+bool is_secret(const std::string& text) {
+    return text.size() == secret_hex_size &&
+           text.find_first_not_of("0123456789abcdefABCDEF") ==
+               std::string::npos;
+}
+
+void read_keys(field_reader& read, const node& in, const std::string& key,
+               parsed_set& set) {
+    for (const node& member : read.objects(in, "keys", false)) {
+        packet_key it;
+        it.id = key_id(
+            static_cast<std::uint8_t>(read.integer(member, "id", 0, 255)));
+        it.secret_hex = read.text(member, "secret");
+        // The secret itself is left out of the error.
+        if (!it.secret_hex.empty() && !is_secret(it.secret_hex))
+            read.reject(join_path(member.path, "secret"), "another text",
+                        "32 hexadecimal digits");
+        const std::string state = read.text(member, "state");
+        if (state == "active")
+            it.state = key_state::active;
+        else if (!state.empty() && state != "accepted")
+            read.reject(join_path(member.path, "state"), '"' + state + '"',
+                        "accepted or active");
+        set.out.keys.push_back(std::move(it));
+        set.key_places.push_back({key, member.path});
+    }
+}
+
+void read_body(field_reader& read, const node& in, const std::string& key,
+               const std::string& kind, std::uint64_t schema, parsed_set& set) {
+    if (kind == "service")
+        read_service(read, in, schema, set);
+    else if (kind == "entries")
+        read_entries(read, in, key, set);
+    else if (kind == "keys")
+        read_keys(read, in, key, set);
+    else if (kind == "fleet")
+        set.fleet_epochs.emplace_back(key,
+                                      read.integer(in, "epoch", 0, UINT32_MAX));
+    else
+        read.reject("kind", '"' + kind + '"',
+                    "service, entries, keys or fleet");
+}
+
+void read_record(const raw_record& raw, parsed_set& set,
+                 std::vector<failure>& errors) {
+    field_reader read(raw.key, errors);
+    if (raw.json.size() > max_record_size)
+        return read.reject("record", std::to_string(raw.json.size()) + " bytes",
+                           "at most 1000000 bytes");
+    if (!is_well_formed(raw.json, json::input_format_t::json))
+        return read.reject("record", "malformed or deeply nested JSON",
+                           "JSON of at most 32 levels");
+    const json document = json::parse(raw.json);
+    if (!document.is_object())
+        return read.reject("record", describe(document), "an object");
+    const node in{document, ""};
+    const auto before = errors.size();
+    const auto schema = read.integer(in, "schema", 1, newest_schema);
+    const std::string kind = read.text(in, "kind");
+    const std::string name = read.text(in, "name");
+    if (errors.size() != before)
+        return;
+    if (raw.key != kind + "/" + name)
+        read.reject("name", '"' + kind + "/" + name + '"',
+                    "the record's key " + raw.key);
+    read_body(read, in, raw.key, kind, schema, set);
+}
+
+void sort_hosts(snapshot& out) {
+    for (service& it : out.services)
+        std::ranges::sort(it.hosts, {}, &host::id);
+    std::ranges::sort(out.services, {}, &service::name);
+    std::ranges::sort(out.entries, {}, &entry::id);
+}
+
+parsed_set parse_set(generation gen, const std::vector<raw_record>& raw,
+                     std::vector<failure>& errors) {
+    parsed_set set;
+    set.out.gen = gen;
+    check_keys(raw, errors);
+    for (const raw_record& it : raw)
+        read_record(it, set, errors);
+    // Hosts still stand in the order of the record, so that paths are right.
+    check_set(set, errors);
+    sort_hosts(set.out);
+    return set;
+}
+
+} // namespace
+
+result<snapshot_ptr> build_snapshot(generation gen,
+                                    std::vector<raw_record> raw) {
+    std::ranges::sort(raw, {}, &raw_record::key);
+    std::vector<failure> errors;
+    parsed_set set = parse_set(gen, raw, errors);
+    if (!errors.empty())
+        return leaf::new_error(errors.front());
+    set.out.raw = std::move(raw);
+    return std::make_shared<const snapshot>(std::move(set.out));
+}
+
+std::vector<failure> check_records(generation gen,
+                                   const std::vector<raw_record>& raw) {
+    std::vector<raw_record> sorted = raw;
+    std::ranges::sort(sorted, {}, &raw_record::key);
+    std::vector<failure> errors;
+    parse_set(gen, sorted, errors);
+    return errors;
+}
+
+} // namespace arbutusport::records
