--- /dev/null
+++ b/packages/testing/src/emulator/history_checker.cpp
@@ -0,0 +1,136 @@
+// Groups a history by request and host, and applies each rule to the groups.
+
+#include <arbutusport/emulator/history_checker.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace arbutusport::emulator {
+
+namespace {
+
+struct request_events {
+    const event* sent = nullptr;
+    std::vector<const event*> runs;
+    std::vector<const event*> outcomes;
+};
+
+using request_map = std::map<std::string, request_events>;
+using violations = std::vector<violation>;
+
+request_map group(const history& events) {
+    request_map out;
+    for (const event& it : events) {
+        if (it.kind == event_kind::drained)
+            continue;
+        request_events& of = out[it.request];
+        if (it.kind == event_kind::sent)
+            of.sent = &it;
+        else if (it.kind == event_kind::ran)
+            of.runs.push_back(&it);
+        else if (it.result != outcome::none)
+            of.outcomes.push_back(&it);
+    }
+    return out;
+}
+
+void check_runs(const std::string& name, const request_events& it,
+                violations& out) {
+    const bool idempotent =
+        std::ranges::any_of(it.runs, [](auto* run) { return run->idempotent; });
+    if (!idempotent && it.runs.size() > 1)
+        out.push_back({violation_kind::double_run, name,
+                       "ran " + std::to_string(it.runs.size()) + " times"});
+    if (!it.sent)
+        return;
+    for (const event* run : it.runs)
+        if (run->service != it.sent->service)
+            out.push_back({violation_kind::misrouted, name,
+                           "sent to " + it.sent->service + ", ran at " +
+                               run->host + " of " + run->service});
+}
+
+void check_answer(const std::string& name, const event& told, violations& out) {
+    if (told.answered_request != name)
+        out.push_back({violation_kind::crossed_answer, name,
+                       "got the answer to " + told.answered_request});
+    if (!told.body_whole)
+        out.push_back(
+            {violation_kind::cut_answer, name, "the body is not whole"});
+}
+
+void check_outcomes(const std::string& name, const request_events& it,
+                    violations& out) {
+    if (it.sent && it.outcomes.empty())
+        out.push_back({violation_kind::lost_request, name, "no outcome"});
+    for (const event* told : it.outcomes) {
+        if (told->result == outcome::answered)
+            check_answer(name, *told, out);
+        if (told->result == outcome::not_run && !it.runs.empty())
+            out.push_back({violation_kind::false_not_run, name,
+                           "told not_run, ran at " + it.runs.front()->host});
+    }
+}
+
+void check_drains(const history& events, violations& out) {
+    std::map<std::string, time_point> drained;
+    for (const event& it : events)
+        if (it.kind == event_kind::drained) {
+            const auto at = drained.emplace(it.host, it.at).first;
+            at->second = std::min(at->second, it.at);
+        }
+    std::vector<const event*> runs;
+    for (const event& it : events)
+        if (it.kind == event_kind::ran && drained.contains(it.host))
+            runs.push_back(&it);
+    std::ranges::stable_sort(runs, {}, [](auto* run) { return run->at; });
+    std::set<std::pair<std::string, std::string>> known;
+    for (const event* run : runs)
+        if (known.emplace(run->host, run->client).second &&
+            run->at > drained.at(run->host) + drain_grace)
+            out.push_back({violation_kind::work_after_drain, run->request,
+                           "first run of " + run->client + " at " + run->host +
+                               " after it was told to drain"});
+}
+
+} // namespace
+
+const char* to_string(violation_kind it) {
+    switch (it) {
+    case violation_kind::double_run:
+        return "double_run";
+    case violation_kind::false_not_run:
+        return "false_not_run";
+    case violation_kind::crossed_answer:
+        return "crossed_answer";
+    case violation_kind::cut_answer:
+        return "cut_answer";
+    case violation_kind::lost_request:
+        return "lost_request";
+    case violation_kind::misrouted:
+        return "misrouted";
+    case violation_kind::work_after_drain:
+        return "work_after_drain";
+    }
+    return "?";
+}
+
+std::vector<violation> check(const history& events) {
+    violations out;
+    for (const auto& [name, it] : group(events)) {
+        check_runs(name, it, out);
+        check_outcomes(name, it, out);
+    }
+    check_drains(events, out);
+    std::ranges::stable_sort(out, {}, &violation::request);
+    return out;
+}
+
+std::size_t count(const std::vector<violation>& found, violation_kind kind) {
+    return static_cast<std::size_t>(
+        std::ranges::count(found, kind, &violation::kind));
+}
+
+} // namespace arbutusport::emulator
