--- /dev/null
+++ b/packages/testing/include/arbutusport/emulator/platform.hpp
@@ -0,0 +1,48 @@
+// Stand-in for the platform's configuration service: a read and watch port
+// for arbutusport, and an administration port for tests.
+#pragma once
+
+#include <arbutusport/emulator/http.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace arbutusport::emulator {
+
+struct platform_options {
+    /// Files <kind>.<name>.json; empty for none.
+    std::string records;
+    /// Calls above this in one second are refused with 429.
+    std::uint32_t max_calls_per_s = 2000;
+};
+
+/// @brief Thread-safe. How it answers readers:
+/// - up: at once;
+/// - down: 503;
+/// - hang: not before the mode changes;
+/// - stale: from the records of the moment at which the mode was set;
+/// - slow: after 2 s.
+class platform {
+public:
+    /// @brief Throws std::runtime_error if a record file is unreadable.
+    explicit platform(platform_options options);
+    ~platform();
+
+    /// @brief The port for arbutusport (design 4.6).
+    http_answer on_read(const http_call& call);
+    /// @brief The port for tests: POST and DELETE
+    /// /admin/records/<kind>/<name>, POST /admin/mode {"mode":...,
+    /// "data_centre":... (optional)}, POST /admin/instances, and
+    /// GET /admin/calls.
+    http_answer on_admin(const http_call& call);
+
+    /// @brief Ends every wait, so that servers can stop.
+    void stop();
+
+private:
+    class impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace arbutusport::emulator
