--- a/packages/runtime/include/arbutusport/telemetry/slo_burn.hpp
+++ b/packages/runtime/include/arbutusport/telemetry/slo_burn.hpp
@@ -81,7 +81,8 @@
                      time_point now) const;
 
     /// @brief {"services":[{"name":..,"objectives":[{"name":..,"target":..,
-    /// "good_6h":..,"bad_6h":..,"burn":{..},"alert":"none|slow|fast"}]}]}
+    /// "counts":{"5m":{"good":..,"bad":..},..},"burn":{"5m":..,..},
+    /// "alert":"none|slow|fast"}]}]}
     std::string to_json(time_point now) const;
 
 private:
--- a/packages/runtime/src/telemetry/slo_burn.cpp
+++ b/packages/runtime/src/telemetry/slo_burn.cpp
@@ -41,12 +41,19 @@
 
 json describe(objective which, const event_ring& events, double target,
               time_point now) {
-    const auto totals = events.sum(hours(6), now);
     const auto burn = rates_of(events, target, now);
+    // Counts, so that the rates of several processes can be added up.
+    const auto counts = [&](duration window) {
+        const auto it = events.sum(window, now);
+        return json{{"good", it.good}, {"bad", it.bad}};
+    };
     return {{"name", to_string(which)},
             {"target", target},
-            {"good_6h", totals.good},
-            {"bad_6h", totals.bad},
+            {"counts",
+             {{"5m", counts(std::chrono::minutes(5))},
+              {"1h", counts(hours(1))},
+              {"30m", counts(std::chrono::minutes(30))},
+              {"6h", counts(hours(6))}}},
             {"burn",
              {{"5m", burn.over_5_min},
               {"1h", burn.over_1_h},
--- a/packages/runtime/src/telemetry/telemetry_test.cpp
+++ b/packages/runtime/src/telemetry/telemetry_test.cpp
@@ -122,7 +122,7 @@
         const auto doc = nlohmann::json::parse(it.to_json(start));
         const auto& goal = doc["services"][0]["objectives"][1];
         CPPUNIT_ASSERT(goal["name"] == "requests_served");
-        CPPUNIT_ASSERT(goal["bad_6h"] == 10);
+        CPPUNIT_ASSERT(goal["counts"]["6h"]["bad"] == 10);
     }
 
     void status_is_json() {
