Detect failed members by probes, suspicion and refutation

Each host probes its successor in the order of ids among the live hosts of its service, so that every member has one prober each second. A random choice left 22% of members without a probe for 1.5 s in large groups (e^-1.5), which does not fit the limit of 5 s until a dead member is down. The suspicion time-out runs from the first unanswered probe; the suspicion is made known only after the indirect probes failed too.

--- /dev/null
+++ b/packages/core/src/membership/member_table.cpp
@@ -0,0 +1,223 @@
+// What is known of each member, and the events that tell of it.
+
+#include "member_table_impl.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace arbutusport::membership {
+
+namespace {
+
+std::tuple<incarnation, std::uint32_t, member_state>
+order_of(const member_event& it) {
+    return {it.run, it.refutations, it.state};
+}
+
+} // namespace
+
+const char* to_string(member_state it) {
+    switch (it) {
+    case member_state::alive:
+        return "alive";
+    case member_state::suspect:
+        return "suspect";
+    case member_state::leaving:
+        return "leaving";
+    case member_state::down:
+        return "down";
+    }
+    return "unknown";
+}
+
+void member_table::impl::set_snapshot(const records::snapshot_ptr& it) {
+    for (const process_id id : roster_.follow(*it)) {
+        queue_.remove(id);
+        not_alive_.erase(id);
+        std::erase_if(pending_,
+                      [&](auto& item) { return item.second.target == id; });
+    }
+    decltype(view_) next;
+    for (const auto& [id, member] : roster_.all()) {
+        const auto seen = event_of(id).state;
+        next[id] = member.config_leaving && seen != member_state::down
+                       ? member_state::leaving
+                       : seen;
+    }
+    const std::unique_lock lock(view_mutex_);
+    view_.swap(next);
+}
+
+std::vector<member_event> member_table::impl::members() const {
+    std::vector<member_event> out;
+    for (const auto& [id, it] : roster_.all()) {
+        out.push_back(event_of(id));
+        out.back().state = state(id);
+    }
+    std::ranges::sort(out, {}, &member_event::id);
+    return out;
+}
+
+void member_table::impl::apply(member_event it, time_point now) {
+    if (it.id == settings_.self)
+        return apply_own(it);
+    member* known = roster_.find(it.id);
+    if (!known || order_of(it) <= order_of(known->event))
+        return;
+    // A member that leaves stays so for the rest of its incarnation.
+    if (known->event.run == it.run &&
+        known->event.state == member_state::leaving &&
+        it.state < member_state::leaving)
+        it.state = member_state::leaving;
+    change(*known, it, now);
+}
+
+void member_table::impl::apply_own(const member_event& it) {
+    if (it.run != own_.run) {
+        // A later process has this name: this one takes no new work.
+        if (it.run > own_.run && own_.state != member_state::leaving)
+            leave();
+        return;
+    }
+    const bool accused =
+        it.state == member_state::suspect || it.state == member_state::down;
+    if (accused && it.refutations >= own_.refutations) {
+        own_.refutations = it.refutations + 1;
+        queue_.add(own_);
+        has_news_ = true;
+    }
+    if (it.state == member_state::leaving &&
+        own_.state != member_state::leaving)
+        leave();
+}
+
+void member_table::impl::change(member& it, const member_event& next,
+                                time_point now) {
+    const bool notable =
+        it.event.state != next.state || it.event.run != next.run;
+    it.event = next;
+    if (next.state == member_state::suspect) {
+        if (!it.unanswered_since)
+            it.unanswered_since = now;
+    } else {
+        it.unanswered_since.reset();
+    }
+    if (next.state == member_state::alive)
+        not_alive_.erase(next.id);
+    else
+        not_alive_.insert(next.id);
+    if (next.state >= member_state::leaving)
+        has_news_ = true;
+    queue_.add(next);
+    if (notable)
+        publish(it);
+}
+
+void member_table::impl::publish(const member& it) {
+    member_event seen = it.event;
+    if (it.config_leaving && seen.state != member_state::down)
+        seen.state = member_state::leaving;
+    {
+        const std::unique_lock lock(view_mutex_);
+        view_[seen.id] = seen.state;
+    }
+    if (settings_.on_change)
+        settings_.on_change(seen);
+}
+
+void member_table::impl::on_listed_leaving(process_id id, time_point now) {
+    if (id == settings_.self)
+        return leave();
+    const member* it = roster_.find(id);
+    if (!it || it->event.state >= member_state::leaving)
+        return;
+    member_event next = it->event;
+    next.state = member_state::leaving;
+    apply(next, now);
+}
+
+void member_table::impl::leave() {
+    if (own_.state == member_state::leaving)
+        return;
+    own_.state = member_state::leaving;
+    queue_.add(own_);
+    has_news_ = true;
+    if (member* it = roster_.find(settings_.self)) {
+        it->event = own_;
+        publish(*it);
+    }
+}
+
+std::vector<member_event>
+member_table::impl::events_for_message(std::size_t repeats) {
+    const std::size_t limit = settings_.max_events_per_message;
+    auto out = queue_.take(limit, roster_.size());
+    auto it = not_alive_.lower_bound(process_id(random_()));
+    repeats = std::min({repeats, not_alive_.size(), limit - out.size()});
+    for (std::size_t i = 0; i < repeats; ++i, ++it) {
+        if (it == not_alive_.end())
+            it = not_alive_.begin();
+        out.push_back(event_of(*it));
+    }
+    return out;
+}
+
+bytes member_table::impl::make_body(std::uint64_t sequence, process_id subject,
+                                    std::optional<member_event> first,
+                                    std::size_t repeats) {
+    probe_body it{sequence, subject, {}};
+    if (first)
+        it.events.push_back(*first);
+    it.events.push_back(own_);
+    const auto events = events_for_message(repeats);
+    it.events.insert(it.events.end(), events.begin(), events.end());
+    return encode_probe(it);
+}
+
+member_table::member_table(options settings)
+    : impl_(std::make_unique<impl>(std::move(settings))) {}
+member_table::~member_table() = default;
+
+void member_table::set_snapshot(const records::snapshot_ptr& snapshot,
+                                time_point) {
+    if (snapshot)
+        impl_->set_snapshot(snapshot);
+}
+actions member_table::on_tick(time_point now) {
+    return impl_->on_tick(now);
+}
+actions member_table::on_probe(probe_kind kind, process_id from,
+                               const endpoint& address, byte_view body,
+                               time_point now) {
+    return impl_->on_probe(kind, from, address, body, now);
+}
+void member_table::on_events(const std::vector<member_event>& events,
+                             time_point now) {
+    impl_->on_events(events, now);
+}
+std::vector<member_event> member_table::take_events() {
+    return impl_->take_events();
+}
+void member_table::on_listed_leaving(process_id id, time_point now) {
+    impl_->on_listed_leaving(id, now);
+}
+void member_table::leave(time_point) {
+    impl_->leave();
+}
+bool member_table::take_resumed() {
+    return impl_->take_resumed();
+}
+bool member_table::is_down(process_id id) const {
+    return impl_->state(id) == member_state::down;
+}
+bool member_table::is_leaving(process_id id) const {
+    return impl_->state(id) == member_state::leaving;
+}
+member_state member_table::state(process_id id) const {
+    return impl_->state(id);
+}
+std::vector<member_event> member_table::members() const {
+    return impl_->members();
+}
+
+} // namespace arbutusport::membership
--- /dev/null
+++ b/packages/core/src/membership/roster.cpp
@@ -0,0 +1,118 @@
+// Members as the configuration lists them.
+
+#include "roster.hpp"
+
+#include <algorithm>
+
+namespace arbutusport::membership {
+
+namespace {
+
+bool is_probed(const records::host& it) {
+    return it.state != records::host_state::out;
+}
+
+std::vector<process_id> probed_hosts(const records::service& it) {
+    std::vector<process_id> ids;
+    for (const records::host& member : it.hosts)
+        if (is_probed(member))
+            ids.push_back(member.id);
+    return ids;
+}
+
+} // namespace
+
+std::vector<process_id> roster::follow(const records::snapshot& it) {
+    auto old = std::move(members_);
+    members_.clear();
+    const auto add = [&](process_id id, const endpoint& packets, bool leaving) {
+        const auto known = old.find(id);
+        member next;
+        if (known != old.end()) {
+            next = known->second;
+            old.erase(known);
+        }
+        next.event.id = id;
+        next.packets = packets;
+        next.config_leaving = leaving;
+        members_.emplace(id, std::move(next));
+    };
+    for (const records::entry& member : it.entries)
+        add(member.id, member.packets, false);
+    for (const records::service& service : it.services)
+        for (const records::host& member : service.hosts)
+            add(member.id, member.packets,
+                member.state != records::host_state::active);
+    set_group(it);
+
+    others_.clear();
+    for (const auto& [id, member] : members_)
+        if (id != self_)
+            others_.push_back(id);
+    std::ranges::sort(others_);
+    std::vector<process_id> removed;
+    for (const auto& [id, member] : old)
+        removed.push_back(id);
+    return removed;
+}
+
+// Hosts probe the hosts of their service. Entries, and hosts without another
+// host in their service, probe one another.
+void roster::set_group(const records::snapshot& it) {
+    group_.clear();
+    probes_any_ = true;
+    std::vector<process_id> mixed;
+    for (const records::entry& member : it.entries)
+        mixed.push_back(member.id);
+    for (const records::service& service : it.services) {
+        auto ids = probed_hosts(service);
+        if (ids.size() == 1) {
+            mixed.push_back(ids.front());
+        } else if (std::ranges::find(ids, self_) != ids.end()) {
+            group_ = std::move(ids);
+            probes_any_ = false;
+        }
+    }
+    if (probes_any_)
+        group_ = std::move(mixed);
+    std::ranges::sort(group_);
+}
+
+member* roster::find(process_id id) {
+    const auto it = members_.find(id);
+    return it == members_.end() ? nullptr : &it->second;
+}
+
+const member* roster::find(process_id id) const {
+    const auto it = members_.find(id);
+    return it == members_.end() ? nullptr : &it->second;
+}
+
+member* roster::successor() {
+    const auto start = static_cast<std::size_t>(
+        std::ranges::upper_bound(group_, self_) - group_.begin());
+    for (std::size_t i = 0; i < group_.size(); ++i) {
+        const process_id id = group_[(start + i) % group_.size()];
+        member* it = find(id);
+        if (id != self_ && it && !it->is_down() && !it->unanswered_since)
+            return it;
+    }
+    return nullptr;
+}
+
+std::vector<process_id> roster::sample(std::size_t n, process_id except,
+                                       std::mt19937_64& random) const {
+    std::vector<process_id> out;
+    if (others_.empty())
+        return out;
+    // Bounded tries: with most members down a shorter sample will do.
+    for (std::size_t i = 0; out.size() < n && i < 4 * n + 8; ++i) {
+        const process_id id = others_[random() % others_.size()];
+        if (id != except && !find(id)->is_down() &&
+            std::ranges::find(out, id) == out.end())
+            out.push_back(id);
+    }
+    return out;
+}
+
+} // namespace arbutusport::membership
