--- a/packages/core/src/membership/membership_test.cpp
+++ b/packages/core/src/membership/membership_test.cpp
@@ -143,7 +143,6 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    // Also for two neighbours in probe order that die at once.
     void a_dead_member_is_down_within_5_s() {
         for (std::uint64_t seed = 0; seed < 50; ++seed) {
             fleet it(seed);
@@ -211,9 +210,9 @@
         it.advance(3s);
         it[0].on_listed_leaving(id_of(6), it.now());
         it.advance(3s);
-        CPPUNIT_ASSERT_EQUAL(member_count,
-                             it.views(6, member_state::leaving) +
-                                 (it[6].is_leaving(id_of(6)) ? 1 : 0));
+        CPPUNIT_ASSERT_EQUAL(member_count - 1,
+                             it.views(6, member_state::leaving));
+        CPPUNIT_ASSERT(it[6].is_leaving(id_of(6)));
         it.stop(6);
         it.advance(6s);
         CPPUNIT_ASSERT_EQUAL(member_count - 1, it.views(6, member_state::down));
--- a/packages/core/src/membership/probing.cpp
+++ b/packages/core/src/membership/probing.cpp
@@ -72,6 +72,10 @@
             if (!target->unanswered_since)
                 target->unanswered_since = now;
             ask_others(sequence, probe.target, out);
+            // Its successor loses its prober, so it is probed in turn:
+            // members of one rack may die together.
+            if (member* next = roster_.successor())
+                this->probe(*next, now, out);
         }
         if (waited < 2 * settings_.probe_timeout) {
             ++it;
--- a/packages/core/src/membership/roster.cpp
+++ b/packages/core/src/membership/roster.cpp
@@ -35,7 +35,7 @@
         next.event.id = id;
         next.packets = packets;
         next.config_leaving = leaving;
-        members_.emplace(id, std::move(next));
+        members_.emplace(id, next);
     };
     for (const records::entry& member : it.entries)
         add(member.id, member.packets, false);
