--- /dev/null
+++ b/packages/core/include/arbutusport/requests/dedup_table.hpp
@@ -0,0 +1,86 @@
+// De-duplication of requests: what became of each operation.
+#pragma once
+
+#include <arbutusport/base/ids.hpp>
+#include <arbutusport/base/time.hpp>
+#include <arbutusport/requests/coap_message.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <queue>
+#include <utility>
+#include <vector>
+
+namespace arbutusport::requests {
+
+/// @brief Names one operation within a session. `name` hashes the
+/// Request-Tag, or else message id and token; `content` hashes what is asked
+/// for, so that a client that restarts on the same port and reuses ids never
+/// gets the answer to an older request.
+struct operation_key {
+    session_id session;
+    std::uint64_t name = 0;
+    std::uint64_t content = 0;
+
+    friend bool operator==(const operation_key&,
+                           const operation_key&) = default;
+    friend bool operator<(const operation_key& left,
+                          const operation_key& right) {
+        return left.order() < right.order();
+    }
+
+private:
+    std::array<std::uint64_t, 3> order() const {
+        return {session.value(), name, content};
+    }
+};
+
+operation_key make_operation_key(session_id session,
+                                 const coap_message& request);
+
+enum class operation_state : std::uint8_t { running, answered, refused };
+
+struct operation {
+    operation_state state = operation_state::running;
+    /// The job that works on it, while running.
+    std::uint64_t job = 0;
+    /// Sent again to each further copy; without type, id and token.
+    coap_message response;
+    /// A running operation stays beyond this time until it is finished.
+    time_point expires;
+};
+
+class dedup_table {
+public:
+    explicit dedup_table(std::size_t max_entries) : max_(max_entries) {}
+
+    /// @brief Null if there is none.
+    operation* find(const operation_key& key);
+    /// @brief Null if the table is full. Requires that the key is new.
+    operation* add(const operation_key& key, std::uint64_t job,
+                   time_point expires);
+    /// @brief Keeps an entry at least until `expires`.
+    void extend(const operation_key& key, time_point expires);
+    void finish(const operation_key& key, operation_state state,
+                const coap_message& response);
+    void erase(const operation_key& key) { entries_.erase(key); }
+    /// @brief For a session that has ended: no binding admits its copies.
+    void erase_session(session_id session);
+    /// @brief Removes finished entries that have expired.
+    void expire(time_point now);
+
+    std::size_t size() const { return entries_.size(); }
+
+private:
+    using expiry = std::pair<time_point, operation_key>;
+
+    std::size_t max_;
+    // Ordered by session first, so that a session's entries are a range.
+    std::map<operation_key, operation> entries_;
+    // Holds each finished entry at least once; an element may be outdated.
+    std::priority_queue<expiry, std::vector<expiry>, std::greater<>> expiries_;
+};
+
+} // namespace arbutusport::requests
--- /dev/null
+++ b/packages/core/include/arbutusport/requests/observations.hpp
@@ -0,0 +1,99 @@
+// Observations (RFC 7641): which client gets which notifications.
+#pragma once
+
+#include <arbutusport/base/bytes.hpp>
+#include <arbutusport/base/ids.hpp>
+#include <arbutusport/base/time.hpp>
+#include <arbutusport/requests/coap_message.hpp>
+#include <arbutusport/requests/upstream_exchanges.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace arbutusport::requests {
+
+/// A client hears at least this often (RFC 7641, section 4.5), so that one
+/// that is gone is noticed.
+inline constexpr duration max_silence = std::chrono::hours(24);
+/// RFC 7252, MAX_RETRANSMIT.
+inline constexpr std::uint32_t max_repetitions = 4;
+/// A further registration is answered without Observe.
+inline constexpr std::size_t max_observations_per_session = 8;
+
+struct observation_key {
+    session_id session;
+    /// The client's token.
+    std::string token;
+
+    friend bool operator==(const observation_key&,
+                           const observation_key&) = default;
+    friend bool operator<(const observation_key& left,
+                          const observation_key& right) {
+        return std::pair(left.session.value(), std::string_view(left.token)) <
+               std::pair(right.session.value(), std::string_view(right.token));
+    }
+};
+
+struct observation {
+    /// Token of the exchange with the upstream.
+    std::uint64_t exchange = 0;
+    /// 24 bits; increases with each notification.
+    std::uint32_t sequence = 0;
+    /// The answer or notification sent last; a notification is repeated
+    /// until it is acknowledged.
+    coap_message last;
+    bool acknowledged = true;
+    std::uint32_t repetitions = 0;
+    duration repeat_after = first_repetition;
+    /// The next repetition, or the end of the longest silence.
+    time_point due;
+};
+
+/// @brief A notification that is due: a repetition of the last one as it is,
+/// or its content anew, since the client has heard nothing for max_silence.
+struct due_notification {
+    observation_key key;
+    bool repetition = true;
+};
+
+class observations {
+public:
+    /// @brief False if the session has its maximum. Requires a new key.
+    /// `first` is the answer to the registration.
+    bool add(const observation_key& key, std::uint64_t exchange,
+             const coap_message& first, time_point now);
+    observation* find(const observation_key& key);
+    const observation_key* find_exchange(std::uint64_t exchange) const;
+    /// @brief The observation whose last notification has this message id.
+    const observation_key* find_message(session_id session,
+                                        std::uint16_t id) const;
+    std::vector<observation_key> of_session(session_id session) const;
+    void erase(const observation_key& key);
+
+    /// @brief Makes a notification of a response of the upstream: sets
+    /// Observe, token and type, and the message id that is given.
+    const coap_message& notify(const observation_key& key,
+                               coap_message response, std::uint16_t id,
+                               time_point now);
+    void acknowledge(const observation_key& key, time_point now);
+    std::vector<due_notification> take_due(time_point now);
+
+    std::size_t size() const { return observations_.size(); }
+
+private:
+    void set_due(const observation_key& key, observation& it, time_point due);
+
+    // Ordered by session first, so that a session's are a range.
+    std::map<observation_key, observation> observations_;
+    // One element for each observation.
+    std::map<std::uint64_t, observation_key> by_exchange_;
+    std::set<std::pair<time_point, observation_key>> due_;
+};
+
+} // namespace arbutusport::requests
--- /dev/null
+++ b/packages/core/src/requests/dedup_table_test.cpp
@@ -0,0 +1,87 @@
+// Guards against entries that are forgotten early, and against one request
+// that passes for another.
+
+#include <arbutusport/requests/dedup_table.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace arbutusport::requests {
+
+namespace {
+
+coap_message make_request(std::uint16_t id, const char* body) {
+    coap_message it;
+    it.code = codes::post;
+    it.id = id;
+    it.token = {1};
+    it.payload = to_bytes(body);
+    return it;
+}
+
+time_point at_second(int n) {
+    return time_point(std::chrono::seconds(n));
+}
+
+} // namespace
+
+class dedup_table_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(dedup_table_test);
+    CPPUNIT_TEST(tells_operations_apart);
+    CPPUNIT_TEST(keeps_entries_until_they_expire);
+    CPPUNIT_TEST(refuses_entries_beyond_its_bound);
+    CPPUNIT_TEST(ends_with_its_session);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void tells_operations_apart() {
+        const session_id s(1);
+        auto first = make_request(1, "a");
+        const auto key = make_operation_key(s, first);
+        CPPUNIT_ASSERT(key != make_operation_key(s, make_request(2, "a")));
+        CPPUNIT_ASSERT(key != make_operation_key(s, make_request(1, "b")));
+        CPPUNIT_ASSERT(key != make_operation_key(session_id(2), first));
+        first.add(options::echo, bytes{1});
+        first.add_uint(options::deadline, 100);
+        CPPUNIT_ASSERT(key == make_operation_key(s, first));
+        // A Request-Tag names the operation whatever the message id.
+        first.add(options::request_tag, bytes{7});
+        auto again = first;
+        again.id = 99;
+        again.token = {5};
+        CPPUNIT_ASSERT(make_operation_key(s, again) ==
+                       make_operation_key(s, first));
+    }
+
+    void keeps_entries_until_they_expire() {
+        dedup_table table(4);
+        const operation_key key{session_id(1), 1, 1};
+        table.add(key, 1, at_second(10));
+        table.expire(at_second(20));
+        CPPUNIT_ASSERT(table.find(key));
+        table.finish(key, operation_state::answered, {});
+        table.extend(key, at_second(30));
+        table.expire(at_second(20));
+        CPPUNIT_ASSERT(table.find(key));
+        table.expire(at_second(30));
+        CPPUNIT_ASSERT(!table.find(key));
+    }
+
+    void refuses_entries_beyond_its_bound() {
+        dedup_table table(1);
+        CPPUNIT_ASSERT(table.add({session_id(1), 1, 1}, 1, at_second(1)));
+        CPPUNIT_ASSERT(!table.add({session_id(1), 2, 1}, 2, at_second(1)));
+    }
+
+    void ends_with_its_session() {
+        dedup_table table(4);
+        table.add({session_id(1), 1, 1}, 1, at_second(1));
+        table.add({session_id(2), 1, 1}, 2, at_second(1));
+        table.erase_session(session_id(1));
+        CPPUNIT_ASSERT(!table.find({session_id(1), 1, 1}));
+        CPPUNIT_ASSERT(table.find({session_id(2), 1, 1}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(dedup_table_test);
+
+} // namespace arbutusport::requests
--- /dev/null
+++ b/packages/core/src/requests/observations.cpp
@@ -0,0 +1,121 @@
+// Observations in a map by session and token, with their next action in an
+// ordered set.
+
+#include <arbutusport/requests/observations.hpp>
+
+namespace arbutusport::requests {
+
+namespace {
+
+constexpr std::uint32_t sequence_mask = 0xff'ffff;
+
+} // namespace
+
+void observations::set_due(const observation_key& key, observation& it,
+                           time_point due) {
+    due_.erase({it.due, key});
+    it.due = due;
+    due_.emplace(due, key);
+}
+
+bool observations::add(const observation_key& key, std::uint64_t exchange,
+                       const coap_message& first, time_point now) {
+    if (of_session(key.session).size() >= max_observations_per_session)
+        return false;
+    observation& it = observations_[key];
+    it.exchange = exchange;
+    it.sequence = first.find_uint(options::observe).value_or(0);
+    it.last = first;
+    by_exchange_[exchange] = key;
+    set_due(key, it, now + max_silence);
+    return true;
+}
+
+observation* observations::find(const observation_key& key) {
+    const auto at = observations_.find(key);
+    return at == observations_.end() ? nullptr : &at->second;
+}
+
+const observation_key*
+observations::find_exchange(std::uint64_t exchange) const {
+    const auto at = by_exchange_.find(exchange);
+    return at == by_exchange_.end() ? nullptr : &at->second;
+}
+
+const observation_key* observations::find_message(session_id session,
+                                                  std::uint16_t id) const {
+    for (auto at = observations_.lower_bound({session, {}});
+         at != observations_.end() && at->first.session == session; ++at)
+        if (!at->second.acknowledged && at->second.last.id == id)
+            return &at->first;
+    return nullptr;
+}
+
+std::vector<observation_key>
+observations::of_session(session_id session) const {
+    std::vector<observation_key> out;
+    for (auto at = observations_.lower_bound({session, {}});
+         at != observations_.end() && at->first.session == session; ++at)
+        out.push_back(at->first);
+    return out;
+}
+
+void observations::erase(const observation_key& key) {
+    const auto at = observations_.find(key);
+    if (at == observations_.end())
+        return;
+    due_.erase({at->second.due, key});
+    by_exchange_.erase(at->second.exchange);
+    observations_.erase(at);
+}
+
+const coap_message& observations::notify(const observation_key& key,
+                                         coap_message response,
+                                         std::uint16_t id, time_point now) {
+    observation& it = observations_.at(key);
+    it.sequence = (it.sequence + 1) & sequence_mask;
+    response.type = coap_type::confirmable;
+    response.id = id;
+    response.token = to_bytes(key.token);
+    response.erase(options::observe);
+    response.add_uint(options::observe, it.sequence);
+    it.last = std::move(response);
+    it.acknowledged = false;
+    it.repetitions = 0;
+    it.repeat_after = first_repetition;
+    set_due(key, it, now + it.repeat_after);
+    return it.last;
+}
+
+void observations::acknowledge(const observation_key& key, time_point now) {
+    observation* it = find(key);
+    if (!it || it->acknowledged)
+        return;
+    it->acknowledged = true;
+    set_due(key, *it, now + max_silence);
+}
+
+std::vector<due_notification> observations::take_due(time_point now) {
+    std::vector<due_notification> out;
+    while (!due_.empty() && due_.begin()->first <= now) {
+        const observation_key key = due_.begin()->second;
+        observation& it = observations_.at(key);
+        if (it.acknowledged) {
+            set_due(key, it, now + max_silence);
+            out.push_back({key, false});
+        } else if (it.repetitions < max_repetitions) {
+            ++it.repetitions;
+            it.repeat_after *= 2;
+            set_due(key, it, now + it.repeat_after);
+            out.push_back({key, true});
+        } else {
+            // The session stays, since the client may return under a new
+            // flow key.
+            it.acknowledged = true;
+            set_due(key, it, now + max_silence);
+        }
+    }
+    return out;
+}
+
+} // namespace arbutusport::requests
--- /dev/null
+++ b/packages/core/src/requests/session_table.cpp
@@ -0,0 +1,50 @@
+// Sessions by id, with an index by flow.
+
+#include <arbutusport/requests/session_table.hpp>
+
+namespace arbutusport::requests {
+
+session* session_table::find(session_id id) {
+    const auto at = sessions_.find(id);
+    return at == sessions_.end() ? nullptr : &at->second;
+}
+
+session* session_table::find(const flow_key& flow) {
+    const auto at = by_flow_.find(flow);
+    return at == by_flow_.end() ? nullptr : find(at->second);
+}
+
+session* session_table::open(const flow_key& flow) {
+    if (sessions_.size() >= max_)
+        return nullptr;
+    const session_id id(++last_id_);
+    session& it = sessions_[id];
+    it.id = id;
+    it.flow = flow;
+    by_flow_[flow] = id;
+    return &it;
+}
+
+void session_table::migrate(session& it, const flow_key& to) {
+    by_flow_.erase(it.flow);
+    it.flow = to;
+    by_flow_[to] = it.id;
+}
+
+void session_table::erase(session_id id) {
+    const auto at = sessions_.find(id);
+    if (at == sessions_.end())
+        return;
+    by_flow_.erase(at->second.flow);
+    sessions_.erase(at);
+}
+
+std::vector<session_id> session_table::ids() const {
+    std::vector<session_id> out;
+    out.reserve(sessions_.size());
+    for (const auto& [id, it] : sessions_)
+        out.push_back(id);
+    return out;
+}
+
+} // namespace arbutusport::requests
