--- a/packages/testing/include/arbutusport/emulator/udp_socket.hpp
+++ b/packages/testing/include/arbutusport/emulator/udp_socket.hpp
@@ -6,6 +6,7 @@
 
 #include <Poco/Net/DatagramSocket.h>
 
+#include <cstddef>
 #include <functional>
 #include <vector>
 
@@ -40,11 +41,11 @@
 private:
     Poco::Net::DatagramSocket socket_;
     endpoint address_;
-    // Receive buffers of one batch, back to back.
-    bytes buffers_;
 };
 
-/// @brief Waits until one of the sockets is readable, at most `timeout`.
-void wait_readable(const std::vector<int>& descriptors, int timeout_ms);
+/// @brief Waits until a socket is readable, at most `timeout_ms`. Returns
+/// the indexes of those that are.
+std::vector<std::size_t> wait_readable(const std::vector<int>& descriptors,
+                                       int timeout_ms);
 
 } // namespace arbutusport::emulator
--- a/packages/testing/src/emulator/platform.cpp
+++ b/packages/testing/src/emulator/platform.cpp
@@ -53,7 +53,7 @@
     std::map<std::string, record> records;
 
     void publish(const std::string& key, std::string text) {
-        if (key == "fleet/fleet") {
+        if (key.starts_with("fleet/")) {
             const json it = json::parse(text, nullptr, false);
             if (it.is_object())
                 gen.epoch = it.value("epoch", gen.epoch);
--- a/packages/testing/src/emulator/udp_socket.cpp
+++ b/packages/testing/src/emulator/udp_socket.cpp
@@ -10,6 +10,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 
 namespace arbutusport::emulator {
@@ -19,6 +20,13 @@
 constexpr std::size_t batch_size = 16;
 constexpr int buffer_bytes = 4 << 20;
 
+// One batch of receive buffers, back to back. Shared by the sockets of a
+// thread, since a load tool has hundreds of them.
+bytes& receive_buffers() {
+    thread_local bytes it(batch_size * wire::max_datagram);
+    return it;
+}
+
 sockaddr_in to_native(const endpoint& it) {
     sockaddr_in out{};
     out.sin_family = AF_INET;
@@ -35,7 +43,7 @@
 
 udp_socket::udp_socket(const endpoint& address)
     : socket_(Poco::Net::SocketAddress(to_string(address)), false),
-      address_(address), buffers_(batch_size * wire::max_datagram) {
+      address_(address) {
     address_.port = socket_.address().port();
     socket_.setReceiveBufferSize(buffer_bytes);
     socket_.setSendBufferSize(buffer_bytes);
@@ -43,11 +51,12 @@
 
 std::size_t udp_socket::receive(
     const std::function<void(const endpoint&, byte_view)>& on_datagram) {
+    bytes& buffers = receive_buffers();
     std::array<sockaddr_in, batch_size> peers{};
     std::array<iovec, batch_size> parts{};
     std::array<mmsghdr, batch_size> messages{};
     for (std::size_t i = 0; i < batch_size; ++i) {
-        parts[i] = {buffers_.data() + i * wire::max_datagram,
+        parts[i] = {buffers.data() + i * wire::max_datagram,
                     wire::max_datagram};
         messages[i].msg_hdr.msg_name = &peers[i];
         messages[i].msg_hdr.msg_namelen = sizeof peers[i];
@@ -59,7 +68,7 @@
     for (int i = 0; i < n; ++i)
         on_datagram(
             from_native(peers[i]),
-            {buffers_.data() + i * wire::max_datagram, messages[i].msg_len});
+            {buffers.data() + i * wire::max_datagram, messages[i].msg_len});
     return n > 0 ? static_cast<std::size_t>(n) : 0;
 }
 
@@ -93,12 +102,19 @@
                  reinterpret_cast<const sockaddr*>(&peer), sizeof peer);
 }
 
-void wait_readable(const std::vector<int>& descriptors, int timeout_ms) {
+std::vector<std::size_t> wait_readable(const std::vector<int>& descriptors,
+                                       int timeout_ms) {
     std::vector<pollfd> polled;
     polled.reserve(descriptors.size());
     for (const int fd : descriptors)
         polled.push_back({fd, POLLIN, 0});
-    (void)poll(polled.data(), polled.size(), timeout_ms);
+    std::vector<std::size_t> ready;
+    if (poll(polled.data(), polled.size(), timeout_ms) <= 0)
+        return ready;
+    for (std::size_t i = 0; i < polled.size(); ++i)
+        if (polled[i].revents != 0)
+            ready.push_back(i);
+    return ready;
 }
 
 } // namespace arbutusport::emulator
