--- /dev/null
+++ b/packages/testing/src/emulator/virtual_fleet_io.cpp
@@ -0,0 +1,222 @@
+// Carries out what the emulated processes ask for.
+
+#include <arbutusport/emulator/virtual_fleet.hpp>
+
+#include <boost/random/uniform_int_distribution.hpp>
+
+#include <utility>
+
+namespace arbutusport::emulator {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr auto platform_delay = milliseconds(2);
+constexpr auto watch_poll_interval = milliseconds(50);
+constexpr auto sync_timeout = seconds(2);
+
+// An alias for std::visit with one lambda per alternative.
+template <class... Handlers>
+struct overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+
+template <class... Handlers>
+overloaded(Handlers...) -> overloaded<Handlers...>;
+
+} // namespace
+
+void virtual_fleet::perform(process& from, node::outputs actions) {
+    for (node::output& action : actions)
+        std::visit(
+            overloaded{
+                [&](const node::send_packet& it) { send_packet(from, it); },
+                [&](const node::send_to_client& it) {
+                    links_.datagram(from.end(), {"client", ""}, [this, it] {
+                        options_.to_client(it.flow, it.datagram);
+                    });
+                },
+                [&](const node::send_to_upstream& it) {
+                    if (from.upstream)
+                        from_upstream(
+                            from, from.upstream->on_datagram(
+                                      from.packets, it.datagram, clock_.now()));
+                },
+                [&](const node::send_sync& it) { send_sync(from, it); },
+                [&](const node::watch_head& it) {
+                    watch(from, it, clock_.now() + it.wait);
+                },
+                [&](const node::fetch_records& it) { fetch(from, it); },
+                [&](const node::configuration_changed& it) {
+                    adopt(from, it.snapshot);
+                },
+                [&](const node::configuration_refused&) { ++counts_.refused; },
+                [&](const node::dropped& it) { ++counts_.drops[it.reason]; },
+            },
+            action);
+}
+
+void virtual_fleet::send_packet(process& from, const node::send_packet& it) {
+    if (!from.keys->can_sign()) {
+        ++counts_.drops["no_key"];
+        return;
+    }
+    process* to = by_packets(it.to);
+    if (!to)
+        return;
+    bytes data;
+    wire::encode_packet(it.message, *from.keys, data);
+    links_.datagram(from.end(), to->end(),
+                    [this, to, data, address = from.packets] {
+                        input(*to, [this, to, data, address] {
+                            receive_packet(*to, data, address);
+                        });
+                    });
+}
+
+void virtual_fleet::receive_packet(process& to, const bytes& data,
+                                   const endpoint& from) {
+    auto actions = handle_failure(
+        [&]() -> result<node::outputs> {
+            BOOST_LEAF_AUTO(message, wire::decode_packet(data, *to.keys));
+            return to.entry ? to.entry->on_packet(std::move(message), from,
+                                                  clock_.now())
+                            : to.host->on_packet(std::move(message), from,
+                                                 clock_.now());
+        },
+        [](const failure& it) {
+            return node::outputs{
+                node::dropped{"packet_" + it.reason, process_id()}};
+        });
+    perform(to, std::move(actions));
+}
+
+void virtual_fleet::send_sync(process& from, const node::send_sync& it) {
+    process* to = by_control(it.peer);
+    // Set by whichever comes first, the reply or the time-out.
+    const auto done = std::make_shared<bool>(false);
+    const auto failed = [this, &from, peer = it.peer, done, run = from.starts] {
+        if (std::exchange(*done, true) || from.starts != run)
+            return;
+        input(from, [this, &from, peer] {
+            perform(from,
+                    from.control_plane().on_sync_error(peer, clock_.now()));
+        });
+    };
+    if (!to || !to->running()) {
+        clock_.after(platform_delay, failed);
+        return;
+    }
+    clock_.after(sync_timeout, failed);
+    const auto reply_arrives = [this, &from, peer = it.peer, done,
+                                run = from.starts](const bytes& reply) {
+        if (std::exchange(*done, true) || from.starts != run)
+            return;
+        input(from, [this, &from, peer, reply] {
+            perform(from, from.control_plane().on_sync_reply(peer, reply,
+                                                             clock_.now()));
+        });
+    };
+    links_.stream(
+        from.end(), to->end(),
+        [this, &from, to, request = it.request, reply_arrives] {
+            input(*to, [this, &from, to, request, reply_arrives] {
+                auto answer =
+                    to->control_plane().on_sync_request(request, clock_.now());
+                links_.stream(to->end(), from.end(),
+                              [reply = std::move(answer.reply), reply_arrives] {
+                                  reply_arrives(reply);
+                              });
+                perform(*to, std::move(answer.actions));
+            });
+        });
+}
+
+void virtual_fleet::watch(process& from, const node::watch_head& it,
+                          time_point end) {
+    clock_.after(platform_delay, [this, &from, it, end, run = from.starts] {
+        if (from.starts != run || !from.running())
+            return;
+        if (store_.mode(from.data_centre) == store_mode::down) {
+            input(from, [this, &from] {
+                perform(from,
+                        from.control_plane().on_platform_error(clock_.now()));
+            });
+            return;
+        }
+        const auto head = store_.head(from.data_centre);
+        if (head.gen <= it.after && clock_.now() < end) {
+            clock_.after(watch_poll_interval, [this, &from, it, end, run] {
+                if (from.starts == run && from.running())
+                    watch(from, it, end);
+            });
+            return;
+        }
+        input(from, [this, &from, head] {
+            perform(from, from.control_plane().on_head(head, clock_.now()));
+        });
+    });
+}
+
+void virtual_fleet::fetch(process& from, const node::fetch_records& it) {
+    clock_.after(platform_delay, [this, &from, it, run = from.starts] {
+        if (from.starts != run || !from.running())
+            return;
+        const bool down = store_.mode(from.data_centre) == store_mode::down;
+        input(from, [this, &from, it, down] {
+            auto& control = from.control_plane();
+            perform(from, down ? control.on_platform_error(clock_.now())
+                               : control.on_records(
+                                     store_.read(it.keys, from.data_centre),
+                                     clock_.now()));
+        });
+    });
+}
+
+void virtual_fleet::adopt(process& at, const records::snapshot_ptr& snapshot) {
+    if (at.in_force && snapshot->gen < *at.in_force)
+        ++counts_.reverted;
+    at.in_force = snapshot->gen;
+    at.keys = wire::make_keyring(snapshot->keys);
+    counts_.last_in_force[snapshot->gen] = clock_.now();
+}
+
+void virtual_fleet::from_upstream(process& at,
+                                  const std::vector<datagram>& sent) {
+    for (const datagram& it : sent)
+        input(at, [this, &at, data = it.data] {
+            if (at.host)
+                perform(at, at.host->on_upstream(data, clock_.now()));
+        });
+}
+
+void virtual_fleet::forge() {
+    wire::keyring wrong;
+    wrong.add(key_id(1), {0xde, 0xad}, true);
+    boost::random::uniform_int_distribution<unsigned> byte(0, 255);
+    for (auto& it : processes_) {
+        bytes random(200);
+        for (auto& n : random)
+            n = static_cast<std::uint8_t>(byte(random_));
+        wire::packet forged;
+        forged.type = wire::message_type::place;
+        forged.service = service_id_of(it->service);
+        forged.target = it->id;
+        forged.body = random;
+        bytes signed_wrongly;
+        wire::encode_packet(forged, wrong, signed_wrongly);
+        bytes altered;
+        if (it->keys->can_sign()) {
+            wire::encode_packet(forged, *it->keys, altered);
+            altered[byte(random_) % altered.size()] ^= 0x01;
+        }
+        for (const bytes& data : {random, signed_wrongly, altered})
+            input(*it, [this, &to = *it, data] {
+                receive_packet(to, data, {0x7f000063, 9});
+            });
+    }
+}
+
+} // namespace arbutusport::emulator
