Spread configurations by gossip, with readers at the platform

A fresh process collects sets for 3 s and asks the peers that answered a second time before it serves.

--- a/packages/core/include/arbutusport/config/config_sync.hpp
+++ b/packages/core/include/arbutusport/config/config_sync.hpp
@@ -7,6 +7,7 @@
 #include <arbutusport/base/error.hpp>
 #include <arbutusport/base/ids.hpp>
 #include <arbutusport/base/time.hpp>
+#include <arbutusport/membership/membership.hpp>
 #include <arbutusport/records/records.hpp>
 
 #include <cstddef>
@@ -29,8 +30,19 @@
     std::size_t readers_per_data_centre = 3;
     duration direct_read_after = std::chrono::seconds(10);
     duration watch_wait = std::chrono::seconds(30);
+    /// Peers that a process contacts at once after it put a new generation in
+    /// force.
+    std::size_t push_peers = 3;
+    /// A sync request without a reply for this long counts as failed.
+    duration sync_timeout = std::chrono::seconds(2);
     std::uint64_t seed = 0;
     std::function<bool(process_id)> is_down;
+    /// Membership events to send with a sync message.
+    std::function<std::vector<membership::member_event>()> take_events;
+    /// Membership events that came with a sync message.
+    std::function<void(const std::vector<membership::member_event>&,
+                       time_point)>
+        on_events;
 };
 
 /// @brief Wait at the platform for a head newer than `after`. At most one
--- /dev/null
+++ b/packages/core/src/config/config_sync_impl.hpp
@@ -0,0 +1,150 @@
+// State of config_sync; its methods are split into start-up, gossip and
+// platform.
+#pragma once
+
+#include "peer_set.hpp"
+#include "sync_message.hpp"
+
+#include <arbutusport/config/config_sync.hpp>
+#include <arbutusport/records/delta.hpp>
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+
+namespace arbutusport::config {
+
+class config_sync::impl {
+public:
+    explicit impl(sync_options options)
+        : options_(std::move(options)),
+          peers_(options_.self, options_.data_centre, options_.seeds),
+          random_(options_.seed ^ options_.self.value()) {}
+
+    void on_tick(time_point now, sync_actions& out);
+    void on_head(const head& it, time_point now, sync_actions& out);
+    void on_records(const std::vector<records::raw_record>& read,
+                    time_point now, sync_actions& out);
+    void on_platform_error(time_point now, sync_actions& out);
+    bytes on_request(byte_view request, time_point now, sync_actions& out);
+    void on_reply(const endpoint& peer, byte_view reply, time_point now,
+                  sync_actions& out);
+    void on_peer_error(const endpoint& peer, time_point now, sync_actions& out);
+
+    const records::snapshot_ptr& current() const { return current_; }
+    bool is_reader() const {
+        return current_ && peers_.is_reader(options_.readers_per_data_centre,
+                                            options_.is_down);
+    }
+
+private:
+    enum class read_state { idle, head, records };
+
+    struct claim {
+        generation gen;
+        std::size_t pulls = 0;
+    };
+
+    // Start-up and adoption.
+    void start(time_point now);
+    void startup_tick(time_point now, sync_actions& out);
+    void ask_everyone(time_point now, sync_actions& out);
+    void try_to_serve(time_point now, sync_actions& out);
+    bool may_end_window(time_point now);
+    void accept(records::snapshot_ptr it, time_point now, sync_actions& out);
+    void put_current(records::snapshot_ptr it, sync_actions& out);
+    void refuse(generation gen, std::uint64_t digest, const failure& why,
+                sync_actions& out);
+    bool is_refused(generation gen, std::uint64_t digest) const;
+    /// @brief False if the set was refused.
+    bool build(generation gen, std::vector<records::raw_record> set,
+               time_point now, sync_actions& out);
+
+    // Gossip.
+    void round(std::size_t peers, time_point now, sync_actions& out);
+    void ask(const endpoint& peer, bool wants, time_point now,
+             sync_actions& out);
+    void pull(const endpoint& peer, time_point now, sync_actions& out);
+    void follow_claim(const endpoint& peer, generation gen, time_point now,
+                      sync_actions& out);
+    void expire_requests(time_point now, sync_actions& out);
+    void learn(const sync_message& it, time_point now, sync_actions& out);
+    void apply(const records::record_delta& it, time_point now,
+               sync_actions& out);
+    bool is_news(const sync_message& it) const;
+    sync_message make_message();
+    records::record_delta delta_from(generation gen) const;
+
+    // Platform.
+    void platform_tick(time_point now, sync_actions& out);
+    bool wants_read(time_point now) const;
+    void read_head(duration wait, time_point now, sync_actions& out);
+    void fetch(const head& it, time_point now, sync_actions& out);
+    std::optional<std::vector<records::raw_record>>
+    assemble(const std::vector<records::raw_record>& read, bool& is_newer);
+    void schedule_first_fetch(time_point now);
+
+    /// @brief The newest set known: in force, or to be put in force at the
+    /// end of the start-up window. Null if none.
+    const records::snapshot_ptr& base() const {
+        return current_ ? current_ : candidate_;
+    }
+    generation base_gen() const { return base() ? base()->gen : generation{}; }
+    duration jitter(duration limit);
+
+    sync_options options_;
+    peer_set peers_;
+    std::mt19937_64 random_;
+
+    // In force. Its generation never decreases.
+    records::snapshot_ptr current_;
+    // Greatest set heard in the start-up window; null afterwards.
+    records::snapshot_ptr candidate_;
+    std::uint64_t base_digest_ = 0;
+    // Of the newest sets, so that older peers get a delta; newest last.
+    std::deque<records::outline> history_;
+    // Newest last. A digest of 0 stands for a set read at the platform whose
+    // content is not known before the read.
+    std::deque<std::pair<generation, std::uint64_t>> refused_;
+
+    std::optional<time_point> last_tick_;
+    bool is_started_ = false;
+    // The candidate stood at the end of the window, and peers are asked once
+    // more whether they know a newer one.
+    bool is_confirming_ = false;
+    time_point window_end_;
+    time_point next_round_;
+    // Peers that were asked in the start-up window.
+    std::set<endpoint> asked_;
+    // Those of them that replied, for the second question.
+    std::set<endpoint> answered_;
+    // Requests without a reply yet, by peer.
+    std::map<endpoint, time_point> waiting_;
+    // Peers that told of a newer generation which is not here yet.
+    std::map<endpoint, claim> claims_;
+    std::optional<endpoint> pulling_;
+    // Peers that were sent a delta and have not replied yet.
+    std::set<endpoint> pushed_;
+    // A delta to this generation was asked for; no other peer is asked for it
+    // before that time.
+    generation expected_;
+    time_point expected_until_;
+    time_point last_heard_;
+
+    read_state reading_ = read_state::idle;
+    time_point read_since_;
+    duration read_limit_{};
+    time_point next_read_;
+    time_point next_direct_read_;
+    duration backoff_{};
+    bool platform_answered_ = false;
+    // The head must be read again, reader or not.
+    bool reread_ = false;
+    // Whose records are being read, or will be at first_fetch_.
+    std::optional<head> target_;
+    time_point first_fetch_;
+};
+
+} // namespace arbutusport::config
--- /dev/null
+++ b/packages/core/src/config/config_sync_test.cpp
@@ -0,0 +1,151 @@
+// Guards what config_sync makes of single inputs: torn reads at the platform
+// and hostile messages.
+
+#include "sync_message.hpp"
+
+#include <arbutusport/config/config_sync.hpp>
+#include <arbutusport/records/parse.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace arbutusport::config {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+std::vector<records::raw_record> make_set(std::uint64_t revision) {
+    return {{"fleet/main",
+             R"({"schema":2,"kind":"fleet","name":"main","epoch":1})", 1},
+            {"keys/packets",
+             R"({"schema":2,"kind":"keys","name":"packets","keys":[{"id":1,)"
+             R"("secret":"00112233445566778899aabbccddeeff",)"
+             R"("state":"active"}]})",
+             revision}};
+}
+
+head head_of(const std::vector<records::raw_record>& set, generation gen) {
+    head it{gen, {}};
+    for (const auto& record : set)
+        it.records.push_back({record.key, record.revision});
+    return it;
+}
+
+template <class Action>
+std::size_t count(const sync_actions& list) {
+    std::size_t n = 0;
+    for (const sync_action& it : list)
+        n += std::holds_alternative<Action>(it) ? 1 : 0;
+    return n;
+}
+
+// Has generation 1.1 in force.
+std::unique_ptr<config_sync> make_started(time_point now) {
+    auto it = std::make_unique<config_sync>(
+        sync_options{.self = process_id(1), .data_centre = "poa-a"});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<watch_head>(it->on_tick(now)));
+    it->on_head(head_of(make_set(1), {1, 1}), now);
+    it->on_tick(now);
+    it->on_records(make_set(1), now);
+    CPPUNIT_ASSERT(it->current() && it->current()->gen == generation(1, 1));
+    return it;
+}
+
+// Brings the object to the point where it has asked for records.
+sync_actions ask_records(config_sync& it, const head& next, time_point& now) {
+    while (count<watch_head>(it.on_tick(now)) == 0)
+        now += 1s;
+    return it.on_head(next, now);
+}
+
+} // namespace
+
+class config_sync_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(config_sync_test);
+    CPPUNIT_TEST(reads_only_what_changed);
+    CPPUNIT_TEST(a_newer_record_makes_it_read_the_head_again);
+    CPPUNIT_TEST(an_older_record_is_not_adopted);
+    CPPUNIT_TEST(decoder_refuses_malformed_messages);
+    CPPUNIT_TEST(hostile_messages_change_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void reads_only_what_changed() {
+        time_point now{};
+        const auto it = make_started(now);
+        const auto list = ask_records(*it, head_of(make_set(2), {1, 2}), now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, list.size());
+        const auto keys = std::get<fetch_records>(list[0]).keys;
+        CPPUNIT_ASSERT(keys == std::vector<std::string>{"keys/packets"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<put_in_force>(it->on_records(
+                                                 {make_set(2)[1]}, now)));
+    }
+
+    void a_newer_record_makes_it_read_the_head_again() {
+        time_point now{};
+        const auto it = make_started(now);
+        ask_records(*it, head_of(make_set(2), {1, 2}), now);
+        const auto list = it->on_records({make_set(3)[1]}, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, list.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<watch_head>(list));
+        CPPUNIT_ASSERT(it->current()->gen == generation(1, 1));
+    }
+
+    void an_older_record_is_not_adopted() {
+        time_point now{};
+        const auto it = make_started(now);
+        ask_records(*it, head_of(make_set(3), {1, 3}), now);
+        CPPUNIT_ASSERT(it->on_records({make_set(2)[1]}, now).empty());
+        CPPUNIT_ASSERT(it->current()->gen == generation(1, 1));
+        // It tries again although it is no reader.
+        now += 2s;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             count<watch_head>(it->on_tick(now)));
+    }
+
+    void decoder_refuses_malformed_messages() {
+        const auto accepts = [](byte_view data) {
+            return handle_failure(
+                [&]() -> result<bool> {
+                    BOOST_LEAF_CHECK(decode_sync(data));
+                    return true;
+                },
+                [](const failure&) { return false; });
+        };
+        const auto set = records::build_snapshot({1, 1}, make_set(1)).value();
+        sync_message it{{1, 1}, 7, true, records::make_full(*set), {}};
+        it.events.push_back({process_id(1), incarnation(2), 3});
+        const bytes good = encode_sync(it);
+        CPPUNIT_ASSERT(accepts(good));
+        for (std::size_t n = 0; n < good.size(); ++n)
+            CPPUNIT_ASSERT(!accepts(byte_view(good).first(n)));
+        CPPUNIT_ASSERT(!accepts(bytes(17'000'000, 0x80)));
+        CPPUNIT_ASSERT(!accepts(bytes(1'000'000, 0x81)));
+    }
+
+    void hostile_messages_change_nothing() {
+        const time_point now{};
+        const auto set = records::build_snapshot({1, 2}, make_set(2)).value();
+        auto delta = records::make_full(*set);
+        ++delta.digest; // a damaged set must not be adopted
+        const bytes good = encode_sync({{1, 2}, delta.digest, true, delta, {}});
+        const bool ok = rc::check([&](const bytes& noise, std::size_t at) {
+            const auto it = make_started(now);
+            bytes data = good;
+            for (std::size_t i = 0; i < noise.size(); ++i)
+                data[(at + i) % data.size()] ^= noise[i];
+            for (const byte_view message :
+                 {byte_view(noise), byte_view(data)}) {
+                it->on_request(message, now);
+                it->on_reply({1, 1}, message, now);
+                RC_ASSERT(it->current()->gen == generation(1, 1));
+            }
+        });
+        CPPUNIT_ASSERT(ok);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(config_sync_test);
+
+} // namespace arbutusport::config
--- /dev/null
+++ b/packages/core/src/config/gossip.cpp
@@ -0,0 +1,177 @@
+// Exchange of generations with peers.
+
+#include "config_sync_impl.hpp"
+
+#include <algorithm>
+
+namespace arbutusport::config {
+
+namespace {
+
+constexpr std::size_t max_pulls = 3;
+
+} // namespace
+
+sync_message config_sync::impl::make_message() {
+    sync_message it;
+    it.gen = base_gen();
+    it.digest = base_digest_;
+    if (options_.take_events)
+        it.events = options_.take_events();
+    return it;
+}
+
+records::record_delta config_sync::impl::delta_from(generation gen) const {
+    const auto it = std::ranges::find(history_, gen, &records::outline::gen);
+    return it == history_.end() ? records::make_full(*base())
+                                : records::make_delta(*it, *base());
+}
+
+void config_sync::impl::round(std::size_t peers, time_point now,
+                              sync_actions& out) {
+    std::set<endpoint> chosen;
+    // Two tries for each peer: a small fleet yields fewer.
+    for (std::size_t i = 0; i < 2 * peers && chosen.size() < peers; ++i)
+        if (const auto it = peers_.pick(random_, options_.is_down);
+            it && chosen.insert(*it).second)
+            ask(*it, true, now, out);
+}
+
+void config_sync::impl::ask(const endpoint& peer, bool wants, time_point now,
+                            sync_actions& out) {
+    sync_message it = make_message();
+    it.wants = wants;
+    waiting_[peer] = now;
+    out.push_back(sync_with{peer, encode_sync(it)});
+}
+
+void config_sync::impl::pull(const endpoint& peer, time_point now,
+                             sync_actions& out) {
+    if (pulling_)
+        return;
+    pulling_ = peer;
+    ask(peer, true, now, out);
+}
+
+void config_sync::impl::expire_requests(time_point now, sync_actions& out) {
+    std::vector<endpoint> expired;
+    for (const auto& [peer, since] : waiting_)
+        if (now - since >= options_.sync_timeout)
+            expired.push_back(peer);
+    for (const endpoint& peer : expired)
+        on_peer_error(peer, now, out);
+}
+
+void config_sync::impl::on_peer_error(const endpoint& peer, time_point now,
+                                      sync_actions& out) {
+    waiting_.erase(peer);
+    claims_.erase(peer);
+    pushed_.erase(peer);
+    // The answers of the others are old by now.
+    if (answered_.erase(peer) > 0)
+        is_confirming_ = false;
+    if (pulling_ == peer)
+        pulling_.reset();
+    try_to_serve(now, out);
+}
+
+bool config_sync::impl::is_news(const sync_message& it) const {
+    return it.gen > base_gen() && !is_refused(it.gen, it.digest);
+}
+
+void config_sync::impl::learn(const sync_message& it, time_point now,
+                              sync_actions& out) {
+    start(now);
+    last_heard_ = now;
+    next_direct_read_ = now + options_.direct_read_after +
+                        jitter(options_.direct_read_after / 2);
+    if (options_.on_events && !it.events.empty())
+        options_.on_events(it.events, now);
+    if (it.delta)
+        apply(*it.delta, now, out);
+}
+
+void config_sync::impl::apply(const records::record_delta& it, time_point now,
+                              sync_actions& out) {
+    if (it.to <= base_gen() || is_refused(it.to, it.digest))
+        return;
+    auto set = handle_failure(
+        [&]() -> result<std::vector<records::raw_record>> {
+            return records::apply_delta(base(), it);
+        },
+        // The base has changed since the peer made the delta, or the delta is
+        // damaged: the next round gets another.
+        [](const failure&) { return std::vector<records::raw_record>(); });
+    if (!set.empty())
+        build(it.to, std::move(set), now, out);
+}
+
+bytes config_sync::impl::on_request(byte_view request, time_point now,
+                                    sync_actions& out) {
+    const auto it = handle_failure(
+        [&]() -> result<std::optional<sync_message>> {
+            BOOST_LEAF_AUTO(decoded, decode_sync(request));
+            return std::optional(std::move(decoded));
+        },
+        [](const failure&) { return std::optional<sync_message>(); });
+    if (!it)
+        return {};
+    learn(*it, now, out);
+    sync_message reply = make_message();
+    // Several peers may bring the same news at once; one delta is enough.
+    if (is_news(*it) && (it->gen > expected_ || now >= expected_until_)) {
+        reply.wants = true;
+        expected_ = it->gen;
+        expected_until_ = now + options_.sync_timeout / 4;
+    }
+    if (it->wants && base_gen() > it->gen)
+        reply.delta = delta_from(it->gen);
+    return encode_sync(reply);
+}
+
+void config_sync::impl::on_reply(const endpoint& peer, byte_view reply,
+                                 time_point now, sync_actions& out) {
+    const auto it = handle_failure(
+        [&]() -> result<std::optional<sync_message>> {
+            BOOST_LEAF_AUTO(decoded, decode_sync(reply));
+            return std::optional(std::move(decoded));
+        },
+        [](const failure&) { return std::optional<sync_message>(); });
+    if (!it)
+        return on_peer_error(peer, now, out);
+    waiting_.erase(peer);
+    if (!current_)
+        answered_.insert(peer);
+    const bool was_push = pushed_.erase(peer) > 0;
+    if (pulling_ == peer)
+        pulling_.reset();
+    learn(*it, now, out);
+    if (is_news(*it))
+        follow_claim(peer, it->gen, now, out);
+    else
+        claims_.erase(peer);
+    // A peer that still wants the set after a push could not use it.
+    if (it->wants && base_gen() > it->gen && !was_push) {
+        sync_message push = make_message();
+        push.delta = delta_from(it->gen);
+        pushed_.insert(peer);
+        out.push_back(sync_with{peer, encode_sync(push)});
+    }
+    try_to_serve(now, out);
+}
+
+// A pull may bring nothing usable, for example because the peer's set changed
+// in between; after a few the claim counts as void.
+void config_sync::impl::follow_claim(const endpoint& peer, generation gen,
+                                     time_point now, sync_actions& out) {
+    claim& it = claims_[peer];
+    it.gen = gen;
+    if (it.pulls >= max_pulls)
+        claims_.erase(peer);
+    else if (!pulling_) {
+        ++it.pulls;
+        pull(peer, now, out);
+    }
+}
+
+} // namespace arbutusport::config
--- /dev/null
+++ b/packages/core/src/config/sync_message.cpp
@@ -0,0 +1,86 @@
+// The CBOR form of sync messages.
+
+#include "sync_message.hpp"
+
+#include "../records/field_reader.hpp"
+
+namespace arbutusport::config {
+
+namespace {
+
+using membership::member_event;
+using membership::member_state;
+using nlohmann::json;
+
+// Several times the complete set at the target sizes (about 1 MB).
+constexpr std::size_t max_message = 16'000'000;
+constexpr std::size_t max_events = 64;
+
+json pack(const member_event& it) {
+    return json::array({it.id.value(), it.run.value(), it.refutations,
+                        static_cast<unsigned>(it.state)});
+}
+
+member_event unpack_event(const json& it) {
+    return {process_id(it.at(0).get<std::uint64_t>()),
+            incarnation(it.at(1).get<std::uint64_t>()),
+            it.at(2).get<std::uint32_t>(),
+            static_cast<member_state>(it.at(3).get<std::uint8_t>())};
+}
+
+result<sync_message> unpack(const json& in) {
+    sync_message it;
+    it.gen = {in.at("g").at(0).get<std::uint32_t>(),
+              in.at("g").at(1).get<std::uint64_t>()};
+    it.digest = in.at("d").get<std::uint64_t>();
+    it.wants = in.contains("w");
+    if (in.contains("e")) {
+        if (in["e"].size() > max_events)
+            return fail("decode_sync", "", "more events than allowed");
+        for (const json& event : in["e"]) {
+            it.events.push_back(unpack_event(event));
+            if (it.events.back().state > member_state::down)
+                return fail("decode_sync", "", "unknown member state");
+        }
+    }
+    if (in.contains("x")) {
+        BOOST_LEAF_AUTO(delta, records::decode_delta(in["x"].get_binary()));
+        it.delta = std::move(delta);
+    }
+    return it;
+}
+
+} // namespace
+
+// Fields at their default are left out: most messages carry neither a delta
+// nor events.
+bytes encode_sync(const sync_message& it) {
+    json out{{"g", json::array({it.gen.epoch, it.gen.revision})},
+             {"d", it.digest}};
+    if (it.wants)
+        out["w"] = true;
+    if (it.delta)
+        out["x"] = json::binary(records::encode_delta(*it.delta));
+    if (!it.events.empty()) {
+        json& events = out["e"] = json::array();
+        for (const member_event& event : it.events)
+            events.push_back(pack(event));
+    }
+    return json::to_cbor(out);
+}
+
+result<sync_message> decode_sync(byte_view data) {
+    const std::string_view text(reinterpret_cast<const char*>(data.data()),
+                                data.size());
+    if (data.size() > max_message)
+        return fail("decode_sync", "", "oversized");
+    if (!records::is_well_formed(text, json::input_format_t::cbor))
+        return fail("decode_sync", "", "malformed CBOR");
+    try {
+        return unpack(json::from_cbor(data.begin(), data.end()));
+    } catch (const json::exception& error) {
+        return fail("decode_sync", "", error.what());
+    }
+}
+
+} // namespace arbutusport::config
--- /dev/null
+++ b/packages/testing/src/emulator/config_fleet.cpp
@@ -0,0 +1,321 @@
+// The simulated fleet: processes, network and faults.
+
+#include <arbutusport/emulator/config_fleet.hpp>
+#include <arbutusport/records/parse.hpp>
+
+#include <algorithm>
+
+namespace arbutusport::emulator {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t seed_peers = 3;
+// Time of one exchange with the platform.
+constexpr duration platform_delay = 4ms;
+constexpr duration platform_error_delay = 1s;
+// A peer that adopted a set this recently may not yet have been able to tell
+// of it: four times the greatest one-way delay without disturbance.
+constexpr duration tell_time = 20ms;
+
+} // namespace
+
+config_fleet::config_fleet(const config_fleet_options& options)
+    : options_(options), random_(options.seed) {
+    versions_.push_back({{1, 1}, make_records(options.sizes)});
+    const auto first = records::build_snapshot({1, 1}, versions_[0].records);
+    const records::snapshot& it = *first.value();
+    const auto add = [&](process_id id, const std::string& data_centre,
+                         const endpoint& control) {
+        by_control_[control] = processes_.size();
+        by_id_[id] = processes_.size();
+        processes_.push_back({id, data_centre, control});
+    };
+    for (const records::entry& member : it.entries)
+        add(member.id, member.data_centre, member.control);
+    for (const records::service& service : it.services)
+        for (const records::host& member : service.hosts)
+            add(member.id, member.data_centre, member.control);
+    for (std::size_t i = 0; i < processes_.size(); ++i)
+        start(i);
+}
+
+void config_fleet::start(std::size_t i) {
+    process& it = processes_[i];
+    config::sync_options options{.self = it.id,
+                                 .data_centre = it.data_centre,
+                                 .push_peers = options_.push_peers,
+                                 .seed = random_()};
+    for (std::size_t n = 0; n < std::min(seed_peers, size()); ++n)
+        if (n != i)
+            options.seeds.push_back(processes_[n].control);
+    options.is_down = [this](process_id id) {
+        const auto found = by_id_.find(id);
+        return found != by_id_.end() && processes_[found->second].is_stopped;
+    };
+    it.sync = std::make_unique<config::config_sync>(std::move(options));
+    ++it.run;
+    it.is_stopped = false;
+    it.started = now_;
+    it.undisturbed_since = now_;
+    it.changes.clear();
+    it.watch.reset();
+    const auto phase = static_cast<duration::rep>(
+        random_() % static_cast<std::uint64_t>(options_.tick.count()));
+    schedule(duration(phase), [this, i, run = it.run] { tick(i, run); });
+}
+
+void config_fleet::tick(std::size_t i, std::uint64_t run) {
+    process& it = processes_[i];
+    if (it.run != run)
+        return;
+    if (!it.is_stopped)
+        carry_out(i, it.sync->on_tick(now_));
+    schedule(options_.tick, [this, i, run] { tick(i, run); });
+}
+
+void config_fleet::schedule(duration delay, task it) {
+    tasks_.emplace(now_ + delay, std::move(it));
+}
+
+void config_fleet::schedule_for(std::size_t i, duration delay, task it) {
+    schedule(delay, [this, i, run = processes_[i].run, it = std::move(it)] {
+        if (processes_[i].run != run)
+            return;
+        if (processes_[i].is_stopped)
+            return schedule_for(i, options_.tick, it);
+        it();
+    });
+}
+
+void config_fleet::advance(duration time) {
+    const time_point end = now_ + time;
+    while (!tasks_.empty() && tasks_.begin()->first <= end) {
+        auto next = tasks_.extract(tasks_.begin());
+        now_ = next.key();
+        next.mapped()();
+    }
+    now_ = end;
+}
+
+void config_fleet::carry_out(std::size_t i,
+                             const config::sync_actions& actions) {
+    for (const config::sync_action& action : actions) {
+        if (const auto* it = std::get_if<config::sync_with>(&action))
+            send(i, *it);
+        else if (const auto* it = std::get_if<config::watch_head>(&action))
+            watch(i, *it);
+        else if (const auto* it = std::get_if<config::fetch_records>(&action))
+            fetch(i, *it);
+        else if (const auto* it = std::get_if<config::put_in_force>(&action))
+            check(i, it->snapshot->gen);
+        else
+            ++processes_[i].refusals;
+    }
+}
+
+void config_fleet::check(std::size_t i, generation gen) {
+    process& it = processes_[i];
+    const std::string name = "process " + std::to_string(i) + " at " +
+                             std::to_string(now_.time_since_epoch().count());
+    if (!it.changes.empty() && gen <= it.changes.back().gen)
+        violations_.push_back(name + " went back to " + to_string(gen));
+    if (it.changes.empty())
+        for (std::size_t n = 0; n < size(); ++n) {
+            const process& peer = processes_[n];
+            const bool reachable =
+                !peer.is_stopped && side_.contains(i) == side_.contains(n) &&
+                peer.undisturbed_since <= it.started && lost_ == 0;
+            if (n == i || !reachable)
+                continue;
+            for (const change& known : peer.changes)
+                if (known.at + tell_time + 4 * extra_delay_ < now_ &&
+                    known.gen > gen)
+                    violations_.push_back(name + " served " + to_string(gen) +
+                                          " but a peer knew " +
+                                          to_string(known.gen));
+        }
+    it.changes.push_back({now_, gen});
+}
+
+duration config_fleet::delay_between(std::size_t from, std::size_t to) {
+    const bool near =
+        processes_[from].data_centre == processes_[to].data_centre;
+    duration it = near ? options_.near_delay : options_.far_delay;
+    if (extra_delay_ > 0us)
+        it += duration(static_cast<duration::rep>(
+            random_() % static_cast<std::uint64_t>(extra_delay_.count())));
+    return it;
+}
+
+void config_fleet::transmit(std::size_t from, std::size_t to, std::size_t size,
+                            task it) {
+    ++counters_.sync_messages;
+    counters_.sync_bytes += size;
+    const bool cut = side_.contains(from) != side_.contains(to);
+    if (cut || processes_[to].is_stopped || random_() % 100 < lost_)
+        return;
+    if (random_() % 100 < doubled_)
+        schedule_for(to, delay_between(from, to), it);
+    schedule_for(to, delay_between(from, to), std::move(it));
+}
+
+void config_fleet::send(std::size_t from, const config::sync_with& it) {
+    const auto to = by_control_.at(it.peer);
+    transmit(from, to, it.request.size(),
+             [this, from, to, data = it.request] { deliver(from, to, data); });
+}
+
+void config_fleet::deliver(std::size_t from, std::size_t to,
+                           const bytes& request) {
+    auto answer = processes_[to].sync->on_request(request, now_);
+    transmit(to, from, answer.reply.size(),
+             [this, from, to, reply = std::move(answer.reply)] {
+                 carry_out(from, processes_[from].sync->on_reply(
+                                     processes_[to].control, reply, now_));
+             });
+    carry_out(to, answer.actions);
+}
+
+void config_fleet::stop(std::size_t i) {
+    processes_[i].is_stopped = true;
+}
+
+void config_fleet::resume(std::size_t i) {
+    if (std::exchange(processes_[i].is_stopped, false))
+        processes_[i].undisturbed_since = now_;
+}
+
+void config_fleet::restart(std::size_t i) {
+    start(i);
+}
+
+void config_fleet::partition(std::set<std::size_t> members) {
+    side_ = std::move(members);
+    for (process& it : processes_)
+        it.undisturbed_since = now_;
+}
+
+void config_fleet::disturb(unsigned lost, unsigned doubled, duration delay) {
+    lost_ = lost;
+    doubled_ = doubled;
+    extra_delay_ = delay;
+    for (process& it : processes_)
+        it.undisturbed_since = now_;
+}
+
+generation config_fleet::in_force(std::size_t i) const {
+    const auto it = processes_[i].sync->current();
+    return it ? it->gen : generation{};
+}
+
+bool config_fleet::is_reader(std::size_t i) const {
+    return processes_[i].sync->is_reader(now_);
+}
+
+std::size_t config_fleet::count_in_force(generation gen) const {
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < size(); ++i)
+        n += in_force(i) == gen ? 1 : 0;
+    return n;
+}
+
+// The platform's side.
+
+const config_fleet::version&
+config_fleet::visible(const std::string& data_centre) const {
+    const auto it = stale_.find(data_centre);
+    return it == stale_.end() ? versions_.back() : versions_[it->second];
+}
+
+void config_fleet::set_platform_down(const std::string& data_centre,
+                                     bool down) {
+    if (!down) {
+        down_.erase(data_centre);
+        return;
+    }
+    down_.insert(data_centre);
+    // Watches under way break off.
+    for (std::size_t i = 0; i < size(); ++i)
+        if (processes_[i].data_centre == data_centre)
+            answer_watch(i, processes_[i].read_number);
+}
+
+void config_fleet::set_platform_stale(const std::string& data_centre,
+                                      bool stale) {
+    if (stale)
+        stale_.emplace(data_centre, versions_.size() - 1);
+    else
+        stale_.erase(data_centre);
+}
+
+void config_fleet::watch(std::size_t i, const config::watch_head& it) {
+    ++counters_.platform_calls;
+    process& reader = processes_[i];
+    reader.watch = it.after;
+    const auto number = ++reader.read_number;
+    if (down_.contains(reader.data_centre) ||
+        visible(reader.data_centre).gen > it.after)
+        return answer_watch(i, number);
+    schedule_for(i, it.wait, [this, i, number] { answer_watch(i, number); });
+}
+
+void config_fleet::answer_watch(std::size_t i, std::uint64_t number) {
+    process& it = processes_[i];
+    if (!it.watch || it.read_number != number)
+        return;
+    it.watch.reset();
+    if (down_.contains(it.data_centre))
+        return schedule_for(i, platform_error_delay, [this, i] {
+            carry_out(i, processes_[i].sync->on_platform_error(now_));
+        });
+    config::head head{visible(it.data_centre).gen, {}};
+    for (const records::raw_record& record : visible(it.data_centre).records)
+        head.records.push_back({record.key, record.revision});
+    schedule_for(i, platform_delay, [this, i, head = std::move(head)] {
+        carry_out(i, processes_[i].sync->on_head(head, now_));
+    });
+}
+
+void config_fleet::fetch(std::size_t i, const config::fetch_records& it) {
+    counters_.platform_calls += it.keys.size();
+    const auto cost =
+        platform_delay * static_cast<duration::rep>(it.keys.size());
+    schedule_for(i, cost, [this, i, keys = it.keys] {
+        process& reader = processes_[i];
+        if (down_.contains(reader.data_centre))
+            return carry_out(i, reader.sync->on_platform_error(now_));
+        const std::set<std::string> wanted(keys.begin(), keys.end());
+        std::vector<records::raw_record> read;
+        for (const auto& record : visible(reader.data_centre).records)
+            if (wanted.contains(record.key))
+                read.push_back(record);
+        carry_out(i, reader.sync->on_records(read, now_));
+    });
+}
+
+generation config_fleet::publish(std::size_t service, bool valid) {
+    version next = versions_.back();
+    ++next.gen.revision;
+    std::vector<records::raw_record*> services;
+    for (records::raw_record& it : next.records)
+        if (it.key.starts_with("service/"))
+            services.push_back(&it);
+    records::raw_record& it = *services[service % services.size()];
+    const std::string field = "\"drain_timeout_s\":";
+    const auto at = it.json.find(field) + field.size();
+    const auto end = it.json.find_first_of(",}", at);
+    const auto seconds = 60 + next.gen.revision % 3600;
+    it.json.replace(at, end - at, valid ? std::to_string(seconds) : "-1");
+    it.revision = next.gen.revision;
+    versions_.push_back(std::move(next));
+    for (std::size_t i = 0; i < size(); ++i) {
+        const process& reader = processes_[i];
+        if (reader.watch && visible(reader.data_centre).gen > *reader.watch)
+            answer_watch(i, reader.read_number);
+    }
+    return versions_.back().gen;
+}
+
+} // namespace arbutusport::emulator
--- /dev/null
+++ b/packages/testing/src/emulator/config_fleet_test.cpp
@@ -0,0 +1,162 @@
+// Guards R8 over a simulated fleet: no process goes back to an older
+// generation, and all converge once faults end.
+
+#include <arbutusport/emulator/config_fleet.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace arbutusport::emulator {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string first_of(const std::vector<std::string>& list) {
+    return list.empty() ? "" : list.front();
+}
+
+void apply_fault(config_fleet& it, std::mt19937_64& random) {
+    const std::size_t i = random() % it.size();
+    const std::string dc = it.data_centre(i);
+    switch (random() % 12) {
+    case 0:
+        it.publish(random());
+        it.publish(random()); // a second publisher at the same moment
+        break;
+    case 1:
+        it.publish(random());
+        break;
+    case 2:
+        it.set_platform_stale(dc, random() % 2 == 0);
+        break;
+    case 3:
+        it.set_platform_down(dc, random() % 2 == 0);
+        break;
+    case 4:
+    case 5:
+        it.restart(i);
+        break;
+    case 6:
+        it.stop(i);
+        break;
+    case 7:
+        it.resume(i);
+        break;
+    case 8:
+        it.partition({i, random() % it.size(), random() % it.size()});
+        break;
+    case 9:
+        it.partition({});
+        break;
+    case 10:
+        it.disturb(random() % 40, random() % 40,
+                   std::chrono::milliseconds(1 + random() % 400));
+        break;
+    default:
+        it.disturb(0, 0, 0us);
+    }
+}
+
+void end_faults(config_fleet& it) {
+    it.disturb(0, 0, 0us);
+    it.partition({});
+    for (std::size_t i = 0; i < it.size(); ++i) {
+        it.resume(i);
+        it.set_platform_down(it.data_centre(i), false);
+        it.set_platform_stale(it.data_centre(i), false);
+    }
+}
+
+} // namespace
+
+class config_fleet_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(config_fleet_test);
+    CPPUNIT_TEST(a_change_reaches_every_process);
+    CPPUNIT_TEST(a_restart_beside_a_stale_platform_does_not_go_back);
+    CPPUNIT_TEST(a_malformed_generation_is_read_once);
+    CPPUNIT_TEST(a_lone_process_reads_directly);
+    CPPUNIT_TEST(random_faults_never_revert_and_converge);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Also in a data centre whose readers cannot reach the platform.
+    void a_change_reaches_every_process() {
+        config_fleet it({});
+        it.advance(10s);
+        CPPUNIT_ASSERT_EQUAL(it.size(), it.count_in_force(it.head()));
+        std::size_t readers = 0;
+        for (std::size_t i = 0; i < it.size(); ++i)
+            readers += it.is_reader(i) ? 1 : 0;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{9}, readers);
+        it.set_platform_down("dc-0", true);
+        it.publish(0);
+        it.advance(5s);
+        CPPUNIT_ASSERT_EQUAL(it.size(), it.count_in_force(it.head()));
+    }
+
+    void a_restart_beside_a_stale_platform_does_not_go_back() {
+        for (std::uint64_t seed = 0; seed < 20; ++seed) {
+            config_fleet it({.seed = seed});
+            it.advance(10s);
+            it.set_platform_stale("dc-0", true);
+            it.publish(0);
+            it.advance(5s);
+            it.restart(0); // in dc-0
+            it.advance(8s);
+            CPPUNIT_ASSERT(it.in_force(0) == it.head());
+            CPPUNIT_ASSERT_EQUAL(std::string(), first_of(it.violations()));
+        }
+    }
+
+    void a_malformed_generation_is_read_once() {
+        config_fleet it({});
+        it.advance(10s);
+        const generation good = it.head();
+        it.publish(0, false);
+        it.advance(120s);
+        CPPUNIT_ASSERT_EQUAL(it.size(), it.count_in_force(good));
+        std::uint64_t refusals = 0;
+        for (std::size_t i = 0; i < it.size(); ++i) {
+            CPPUNIT_ASSERT(it.refusals(i) <= 1);
+            refusals += it.refusals(i);
+        }
+        CPPUNIT_ASSERT(refusals > 0);
+        // 9 readers: a refused read, then four watches of 30 s each.
+        CPPUNIT_ASSERT(it.counters().platform_calls < 250);
+        it.publish(0);
+        it.advance(5s);
+        CPPUNIT_ASSERT_EQUAL(it.size(), it.count_in_force(it.head()));
+    }
+
+    void a_lone_process_reads_directly() {
+        config_fleet it({});
+        it.advance(10s);
+        it.partition({4});
+        it.publish(0);
+        it.advance(16s);
+        CPPUNIT_ASSERT(it.in_force(4) == it.head());
+    }
+
+    void random_faults_never_revert_and_converge() {
+        const bool ok = rc::check([](std::uint64_t seed) {
+            config_fleet it(
+                {.sizes = {.hosts = 5, .entries = 2}, .seed = seed});
+            std::mt19937_64 random(seed);
+            it.advance(std::chrono::milliseconds(random() % 8000));
+            for (int step = 0; step < 25; ++step) {
+                apply_fault(it, random);
+                it.advance(std::chrono::milliseconds(random() % 3000));
+            }
+            end_faults(it);
+            it.advance(40s);
+            RC_ASSERT(first_of(it.violations()) == "");
+            RC_ASSERT(it.count_in_force(it.head()) == it.size());
+        });
+        CPPUNIT_ASSERT(ok);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(config_fleet_test);
+
+} // namespace arbutusport::emulator
