--- a/packages/core/include/arbutusport/requests/request_broker.hpp
+++ b/packages/core/include/arbutusport/requests/request_broker.hpp
@@ -42,6 +42,9 @@
     std::array<std::uint8_t, 16> binding_key{};
     std::uint64_t seed = 0;
     guards enabled;
+    /// Answers whether a host is believed down; a request whose binding names
+    /// it is then answered here. Unset: none is.
+    std::function<bool(process_id)> is_down;
 };
 
 /// @brief Send a datagram to the client of an owned flow.
--- /dev/null
+++ b/packages/core/src/requests/broker_impl.hpp
@@ -0,0 +1,204 @@
+// State and steps of the broker; its parts are in broker_client.cpp,
+// broker_jobs.cpp, broker_upstream.cpp and broker_timers.cpp.
+#pragma once
+
+#include <arbutusport/requests/admission_queue.hpp>
+#include <arbutusport/requests/binding.hpp>
+#include <arbutusport/requests/coap_message.hpp>
+#include <arbutusport/requests/dedup_table.hpp>
+#include <arbutusport/requests/observations.hpp>
+#include <arbutusport/requests/request_broker.hpp>
+#include <arbutusport/requests/retry_budget.hpp>
+#include <arbutusport/requests/session_table.hpp>
+#include <arbutusport/requests/upstream_exchanges.hpp>
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string_view>
+#include <unordered_map>
+
+namespace arbutusport::requests {
+
+/// A client repeats a request for this long after its first copy (RFC 7252,
+/// MAX_TRANSMIT_WAIT). Entries live at least so long; that is enough for
+/// idempotent requests, of which a later copy may run again.
+inline constexpr duration copy_lifetime = std::chrono::seconds(93);
+
+/// @brief How to address the answer to the latest copy of a request.
+struct copy_address {
+    flow_key flow;
+    coap_type type = coap_type::confirmable;
+    std::uint16_t id = 0;
+    bytes token;
+};
+
+enum class job_state : std::uint8_t {
+    queued,
+    running,     // handed to the upstream; holds a slot
+    backing_off, // shed here; waits to be handed to another host
+    elsewhere,   // handed to another host
+};
+
+/// @brief One request in progress.
+struct job {
+    std::uint64_t id = 0;
+    job_state state = job_state::queued;
+    /// For a client's request.
+    session_id session;
+    std::optional<operation_key> key;
+    copy_address copy;
+    /// For a request that another host sent here: that host and its exchange.
+    process_id origin;
+    std::uint64_t origin_exchange = 0;
+    /// Without Echo.
+    coap_message request;
+    time_point deadline;
+    /// Token at the upstream, or exchange with another host.
+    std::uint64_t exchange = 0;
+    std::uint32_t tries_elsewhere = 0;
+    time_point retry_at;
+    /// The upstream's 5.03, passed on if no other host answers.
+    coap_message shed;
+
+    bool of_peer() const { return origin != process_id(); }
+    bool idempotent() const { return is_idempotent(request.code); }
+};
+
+class request_broker::impl {
+public:
+    explicit impl(broker_options options);
+
+    // The client's side.
+    void on_client(const flow_key& flow, byte_view datagram, time_point now);
+    void on_flow_closed(const flow_key& flow);
+
+    // The side of the upstream and of other hosts.
+    void on_upstream(byte_view datagram, time_point now);
+    void on_execute(process_id origin, std::uint64_t exchange,
+                    byte_view request, time_point now);
+    void on_execute_reply(std::uint64_t exchange, byte_view response,
+                          time_point now);
+
+    void on_tick(time_point now);
+    void drain(time_point deadline) { drain_deadline_ = deadline; }
+    bool drained() const;
+
+    broker_actions take_actions() { return std::exchange(actions_, {}); }
+
+    const session_table& sessions() const { return sessions_; }
+    std::size_t running() const { return running_; }
+    std::size_t queued() const { return queue_.size(); }
+    const broker_counters& counters() const { return counters_; }
+
+private:
+    // What a request's binding says about where it may run.
+    enum class standing : std::uint8_t {
+        unbound,   // no binding: has never been admitted anywhere
+        valid,     // admits a new operation
+        stale,     // was issued here, but admits none any more
+        foreign,   // another incarnation, which may have run the request
+        elsewhere, // another host that is believed up
+    };
+
+    struct verdict {
+        standing value = standing::unbound;
+        binding named;
+        /// The session that the binding names, if it is open here.
+        session* bound = nullptr;
+    };
+
+    // broker_client.cpp
+    void on_request(const flow_key& flow, coap_message request, time_point now);
+    void on_client_empty(const flow_key& flow, const coap_message& message,
+                         time_point now);
+    verdict judge(const coap_message& request, time_point now);
+    session* resolve_session(const flow_key& flow, const verdict& of,
+                             const coap_message& request, time_point now);
+    void refuse_session(const copy_address& copy, bool never_runs,
+                        time_point now);
+    void on_copy(operation& known, const copy_address& copy);
+    void on_new_request(session& of, const copy_address& copy,
+                        coap_message request, const verdict& judged,
+                        time_point now);
+    void refuse_unbound(session& of, const copy_address& copy, bool unbound,
+                        time_point now);
+    void deregister(const observation_key& key);
+    void cancel(job& it, time_point now);
+    void close_session(session_id id);
+
+    // broker_jobs.cpp
+    /// Reads and removes the options that are meant for the broker.
+    job& add_job(job it, time_point now);
+    void admit(std::uint64_t id, time_point now);
+    void dispatch(job& it, time_point now);
+    void start_queued(time_point now);
+    /// Says that the job will never run; requires that it never ran.
+    void refuse(std::uint64_t id, time_point now);
+    void finish(std::uint64_t id, coap_message response, operation_state state,
+                time_point now);
+    /// Ends a job that may have run, or may still run.
+    void finish_unknown(std::uint64_t id, time_point now);
+    void drop_job(std::uint64_t id);
+    void release_slot(job& it);
+
+    // broker_upstream.cpp
+    void on_answer(upstream_exchange& of, coap_message response,
+                   time_point now);
+    void on_shed(job& it, coap_message response, time_point now);
+    void pass_shed(std::uint64_t id, time_point now);
+    bool try_elsewhere(job& it, time_point now);
+    bool etag_changed(const job& it, const coap_message& response,
+                      time_point now);
+    /// True if an observation takes the exchange over.
+    bool start_observation(job& it, upstream_exchange& of,
+                           coap_message& response, time_point now);
+    void on_notification(const observation_key& key, coap_message response,
+                         time_point now);
+    void cancel_upstream(std::uint64_t token);
+    void set_accepting(bool value);
+
+    // broker_timers.cpp
+    void expire_jobs(time_point now);
+    void send_elsewhere(time_point now);
+    void send_due_notifications(time_point now);
+    void end_sessions(time_point now);
+    void send_closing_notice(const session& of);
+
+    // Building blocks.
+    void respond(const copy_address& to, coap_message response);
+    void respond_to(const job& it, coap_message response);
+    coap_message make_refusal(bool never_runs) const;
+    void add_binding(const session& of, coap_message& response,
+                     time_point now) const;
+    void send_notification(const observation_key& key, bool retransmission);
+    duration expected_wait(std::size_t ahead) const;
+    bool draining_ended(time_point now) const {
+        return drain_deadline_ && now >= *drain_deadline_;
+    }
+
+    broker_options options_;
+    session_table sessions_;
+    dedup_table operations_;
+    admission_queue queue_;
+    service_time service_time_;
+    retry_budget budget_;
+    upstream_exchanges exchanges_;
+    observations observations_;
+    // At most slots + queue + max_elsewhere elements.
+    std::map<std::uint64_t, job> jobs_;
+    std::unordered_map<std::uint64_t, std::uint64_t> elsewhere_;
+    std::uint64_t last_job_ = 0;
+    // Jobs in state running; at most options_.slots.
+    std::size_t running_ = 0;
+    std::uint16_t last_message_id_ = 0;
+    bool accepting_ = true;
+    time_point accepting_again_;
+    std::optional<time_point> drain_deadline_;
+    std::mt19937_64 random_;
+    broker_counters counters_;
+    // Collected until the caller of the present step takes them.
+    broker_actions actions_;
+};
+
+} // namespace arbutusport::requests
