--- a/packages/core/include/arbutusport/routing/slot_table.hpp
+++ b/packages/core/include/arbutusport/routing/slot_table.hpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <span>
 #include <vector>
 
@@ -40,4 +41,12 @@
     std::size_t width_ = 0;
 };
 
+/// @brief Digest of the hosts, with their order, addresses, weights and
+/// states. Services with equal digests have equal tables. Never 0.
+std::uint64_t hosts_digest(const records::service& it);
+
+/// @brief The table of a service; one that is in use already is shared, so
+/// that a service whose hosts did not change is not ranked again.
+std::shared_ptr<const slot_table> shared_slot_table(const records::service& it);
+
 } // namespace arbutusport::routing
--- a/packages/core/src/flows/peer_cover.cpp
+++ b/packages/core/src/flows/peer_cover.cpp
@@ -2,10 +2,7 @@
 
 #include "peer_cover.hpp"
 
-#include <arbutusport/base/hash.hpp>
-
 #include <algorithm>
-#include <bit>
 
 namespace arbutusport::flows {
 
@@ -22,29 +19,16 @@
 // Peers that sent a bitmap but are not in this process's configuration.
 constexpr std::size_t max_unconfigured = 1024;
 
-std::uint64_t digest_of(const records::service& service) {
-    std::uint64_t digest = 0;
-    for (const auto& it : service.hosts) {
-        digest = hash_combine(digest, it.id.value());
-        digest = hash_combine(digest, std::uint64_t{it.packets.address} << 16 |
-                                          it.packets.port);
-        digest = hash_combine(digest, std::bit_cast<std::uint64_t>(it.weight));
-        digest = hash_combine(digest, static_cast<std::uint64_t>(it.state));
-    }
-    // 0 stands for "no hosts adopted yet".
-    return digest == 0 ? 1 : digest;
-}
-
 } // namespace
 
 void peer_cover::set_service(const records::service& service, generation gen,
                              time_point now) {
-    const std::uint64_t digest = digest_of(service);
+    const std::uint64_t digest = routing::hosts_digest(service);
     if (digest == digest_)
         return;
     digest_ = digest;
     auto next = std::make_shared<ranking>();
-    next->table = routing::slot_table(service);
+    next->table = routing::shared_slot_table(service);
     for (auto& [id, it] : peers_)
         it.is_configured = false;
     for (const auto& host : service.hosts) {
@@ -151,14 +135,14 @@
 wire::candidate_list peer_cover::ranked(slot_index slot) const {
     wire::candidate_list out;
     if (current_)
-        for (const auto index : current_->table.ranks(slot))
+        for (const auto index : current_->table->ranks(slot))
             out.push_back(current_->hosts[index]);
     return out;
 }
 
 bool peer_cover::ranks(const ranking& it, slot_index slot,
                        process_id id) const {
-    return std::ranges::any_of(it.table.ranks(slot), [&](auto index) {
+    return std::ranges::any_of(it.table->ranks(slot), [&](auto index) {
         return it.hosts[index].id == id;
     });
 }
--- a/packages/core/src/flows/peer_cover.hpp
+++ b/packages/core/src/flows/peer_cover.hpp
@@ -77,7 +77,7 @@
     // The ranked hosts at one digest.
     struct ranking {
         std::vector<wire::candidate> hosts;
-        routing::slot_table table;
+        std::shared_ptr<const routing::slot_table> table;
     };
 
     bool is_down(process_id id) const { return is_down_ && is_down_(id); }
@@ -92,6 +92,7 @@
     std::shared_ptr<const ranking> current_;
     // The last ranking that every live peer knows this host to use.
     std::shared_ptr<const ranking> settled_;
+    // 0 before any hosts were adopted.
     std::uint64_t digest_ = 0;
     generation announced_gen_;
     time_point announced_at_;
--- a/packages/core/src/routing/entry_router.cpp
+++ b/packages/core/src/routing/entry_router.cpp
@@ -72,7 +72,7 @@
 // One service of a snapshot with its table.
 struct service_route {
     const records::service* record;
-    slot_table table;
+    std::shared_ptr<const slot_table> table;
 };
 
 // Everything that one generation decides; immutable.
@@ -88,8 +88,9 @@
 
 routes::routes(records::snapshot_ptr it) : snapshot(std::move(it)) {
     for (const auto& service : snapshot->services) {
-        by_address.try_emplace(service.address,
-                               service_route{&service, slot_table(service)});
+        by_address.try_emplace(
+            service.address,
+            service_route{&service, shared_slot_table(service)});
         for (const auto& host : service.hosts) {
             if (host.state == records::host_state::out)
                 continue;
@@ -205,7 +206,7 @@
                                const flow_key& flow) const {
     wire::candidate_list all;
     wire::candidate_list live;
-    for (const auto index : route.table.ranks(slot_of(flow))) {
+    for (const auto index : route.table->ranks(slot_of(flow))) {
         const auto& host = route.record->hosts[index];
         all.push_back({host.id, host.packets});
         if (!is_down(host.id))
--- a/packages/core/src/routing/slot_table.cpp
+++ b/packages/core/src/routing/slot_table.cpp
@@ -4,7 +4,10 @@
 #include <arbutusport/routing/slot_table.hpp>
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
+#include <mutex>
+#include <unordered_map>
 #include <utility>
 
 namespace arbutusport::routing {
@@ -20,29 +23,36 @@
     bool draining;
 };
 
-// Keeps `width` hosts. Draining hosts of the lowest ranks give way to active
-// ones until there are enough to place new flows; without this, a slot whose
-// first ranks all drain would have to place new flows at a draining host.
+bool ranks_before(const ranked_host& a, const ranked_host& b) {
+    return std::pair(a.score, a.index) > std::pair(b.score, b.index);
+}
+
+// Sorts the first `width` ranks to the front. Draining hosts of the lowest
+// ranks give way to active ones until there are enough to place new flows;
+// without this, a slot whose first ranks all drain would have to place new
+// flows at a draining host.
 void keep_ranks(std::vector<ranked_host>& all, std::size_t width) {
-    const std::size_t wanted = std::min(placement_choices, width);
     const auto kept = all.begin() + static_cast<std::ptrdiff_t>(width);
-    auto active = static_cast<std::size_t>(std::count_if(
-        all.begin(), kept, [](const auto& it) { return !it.draining; }));
-    auto next = kept;
+    std::partial_sort(all.begin(), kept, all.end(), ranks_before);
+    auto active = std::count_if(all.begin(), kept,
+                                [](const auto& it) { return !it.draining; });
+    const auto wanted =
+        static_cast<std::ptrdiff_t>(std::min(placement_choices, width));
     for (auto last = kept; last != all.begin() && active < wanted;) {
         --last;
         if (!last->draining)
             continue;
-        next = std::find_if(next, all.end(),
-                            [](const auto& it) { return !it.draining; });
-        if (next == all.end())
+        const auto best =
+            std::min_element(kept, all.end(), [](const auto& a, const auto& b) {
+                return std::pair(!a.draining, a.score) >
+                       std::pair(!b.draining, b.score);
+            });
+        if (best == all.end() || best->draining)
             break;
-        std::iter_swap(last, next++);
+        std::iter_swap(last, best);
         ++active;
     }
-    std::stable_sort(all.begin(), kept, [](const auto& a, const auto& b) {
-        return a.score > b.score;
-    });
+    std::sort(all.begin(), kept, ranks_before);
 }
 
 } // namespace
@@ -73,10 +83,6 @@
             entry.score = score(slot_index(static_cast<std::uint16_t>(slot)),
                                 host.id, host.weight);
         }
-        std::ranges::sort(all, [&](const auto& a, const auto& b) {
-            return std::pair(a.score, it.hosts[a.index].id) >
-                   std::pair(b.score, it.hosts[b.index].id);
-        });
         keep_ranks(all, width_);
         for (std::size_t i = 0; i < width_; ++i)
             rows_.push_back(all[i].index);
@@ -87,4 +93,35 @@
     return std::span(rows_).subspan(slot.value() * width_, width_);
 }
 
+std::uint64_t hosts_digest(const records::service& it) {
+    std::uint64_t digest = 0;
+    for (const auto& host : it.hosts) {
+        digest = hash_combine(digest, host.id.value());
+        digest =
+            hash_combine(digest, std::uint64_t{host.packets.address} << 16 |
+                                     host.packets.port);
+        digest =
+            hash_combine(digest, std::bit_cast<std::uint64_t>(host.weight));
+        digest = hash_combine(digest, static_cast<std::uint64_t>(host.state));
+    }
+    return digest == 0 ? 1 : digest;
+}
+
+std::shared_ptr<const slot_table>
+shared_slot_table(const records::service& it) {
+    static std::mutex mutex;
+    static std::unordered_map<std::uint64_t, std::weak_ptr<const slot_table>>
+        tables;
+    const std::uint64_t digest = hosts_digest(it);
+    const std::lock_guard lock(mutex);
+    if (const auto found = tables.find(digest); found != tables.end())
+        if (auto table = found->second.lock())
+            return table;
+    std::erase_if(tables,
+                  [](const auto& entry) { return entry.second.expired(); });
+    auto table = std::make_shared<const slot_table>(it);
+    tables[digest] = table;
+    return table;
+}
+
 } // namespace arbutusport::routing
