--- /dev/null
+++ b/packages/arbutusd/src/daemon/packet_port.cpp
@@ -0,0 +1,70 @@
+// Keys and signed sending.
+
+#include <arbutusport/daemon/packet_port.hpp>
+
+#include <sodium.h>
+
+#include <utility>
+
+namespace arbutusport::daemon {
+
+keyring_ptr make_keyring(const std::vector<records::packet_key>& keys) {
+    auto out = std::make_shared<wire::keyring>();
+    for (const records::packet_key& it : keys) {
+        wire::keyring::secret value{};
+        std::size_t size = 0;
+        const int ec =
+            sodium_hex2bin(value.data(), value.size(), it.secret_hex.data(),
+                           it.secret_hex.size(), nullptr, &size, nullptr);
+        if (ec == 0 && size == value.size())
+            out->add(it.id, value, it.state == records::key_state::active);
+    }
+    return out;
+}
+
+packet_port::packet_port(adapters::udp_socket socket)
+    : socket_(std::move(socket)) {}
+
+void packet_port::set_keys(keyring_ptr keys) {
+    const std::lock_guard lock(mutex_);
+    keys_ = std::move(keys);
+}
+
+keyring_ptr packet_port::keys() const {
+    const std::lock_guard lock(mutex_);
+    return keys_;
+}
+
+node::outputs
+receive_packet(byte_view datagram, const wire::keyring& keys,
+               const std::function<node::outputs(wire::packet)>& handle) {
+    return handle_failure(
+        [&]() -> result<node::outputs> {
+            BOOST_LEAF_AUTO(message, wire::decode_packet(datagram, keys));
+            return handle(std::move(message));
+        },
+        [](const failure& it) {
+            return node::outputs{node::dropped{it.reason, process_id()}};
+        });
+}
+
+bool packet_sender::add(const endpoint& to, const wire::packet& message,
+                        const wire::keyring& keys) {
+    if (!keys.can_sign())
+        return false;
+    if (batch_.full())
+        flush();
+    wire::encode_packet(message, keys, batch_.add(to));
+    return true;
+}
+
+void packet_sender::flush() {
+    if (!batch_.empty())
+        refused_ += port_.socket().send(batch_);
+}
+
+std::size_t packet_sender::take_refused() {
+    return std::exchange(refused_, 0);
+}
+
+} // namespace arbutusport::daemon
--- /dev/null
+++ b/packages/arbutusd/src/daemon/run_daemon.cpp
@@ -0,0 +1,97 @@
+// Settings, signals and the life of the process.
+
+#include <arbutusport/adapters/log.hpp>
+#include <arbutusport/daemon/arguments.hpp>
+#include <arbutusport/daemon/role_process.hpp>
+
+#include <csignal>
+#include <iostream>
+
+#include <sodium.h>
+#include <unistd.h>
+
+namespace arbutusport::daemon {
+
+namespace {
+
+using adapters::log_event;
+using adapters::severity;
+
+// How often a planned stop is checked for its end.
+constexpr timespec poll_interval{0, 50'000'000};
+
+// Blocked in every thread, so that only wait_for_stop() sees them.
+sigset_t block_signals() {
+    sigset_t it;
+    sigemptyset(&it);
+    sigaddset(&it, SIGTERM);
+    sigaddset(&it, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &it, nullptr);
+    return it;
+}
+
+int wait_for_stop(role_process& process, const sigset_t& signals) {
+    bool stopping = false;
+    while (!process.stopped()) {
+        if (sigtimedwait(&signals, nullptr, &poll_interval) < 0)
+            continue;
+        if (stopping) {
+            log_event(severity::warning, "stopped_at_once");
+            // Without destructors: threads may wait for time-outs.
+            ::_exit(exit_failed);
+        }
+        stopping = true;
+        log_event(severity::info, "stopping");
+        process.begin_stop();
+    }
+    log_event(severity::info, "stopped");
+    return exit_ok;
+}
+
+result<int> run_process(const settings::process_settings& settings) {
+    const sigset_t signals = block_signals();
+    adapters::start_log(static_cast<adapters::severity>(settings.level),
+                        settings.name);
+    if (sodium_init() < 0)
+        return fail("start", "libsodium", "no source of random numbers");
+    const bool is_host = settings.role == settings::process_role::host;
+    BOOST_LEAF_AUTO(process,
+                    is_host ? start_host(settings) : start_entry(settings));
+    return wait_for_stop(*process, signals);
+}
+
+int report(const failure& it, int code) {
+    std::cerr << "level=error event=refused step=" << it.step
+              << " file=" << adapters::quote_value(it.peer) << ' ' << it.reason
+              << '\n';
+    return code;
+}
+
+int report_start(const failure& it) {
+    log_event(severity::error, "start_failed")
+        .field("step", it.step)
+        .field("peer", it.peer)
+        .field("reason", it.reason);
+    return exit_failed;
+}
+
+} // namespace
+
+int run_daemon(int argc, const char* const* argv) {
+    const auto given = parse_arguments(argc, argv, std::cout, std::cerr);
+    if (given.exit_code)
+        return *given.exit_code;
+    settings::process_settings settings;
+    const int code = handle_failure(
+        [&]() -> result<int> {
+            BOOST_LEAF_ASSIGN(settings,
+                              settings::read_settings(given.settings_path));
+            return exit_ok;
+        },
+        [](const failure& it) { return report(it, exit_refused); });
+    if (code != exit_ok || given.check_only)
+        return code;
+    return handle_failure([&] { return run_process(settings); }, report_start);
+}
+
+} // namespace arbutusport::daemon
--- a/packages/core/include/arbutusport/node/host_node.hpp
+++ b/packages/core/include/arbutusport/node/host_node.hpp
@@ -45,6 +45,8 @@
                          time_point now);
     /// @brief Begins a planned stop.
     outputs drain(time_point now);
+    /// @brief Like drain(), but sessions end by notice within `limit`.
+    outputs stop(time_point now, duration limit);
     bool draining() const { return draining_; }
     bool drained() const { return draining_ && broker_.drained(); }
 
--- a/packages/core/src/node/host_node.cpp
+++ b/packages/core/src/node/host_node.cpp
@@ -118,6 +118,12 @@
     return {};
 }
 
+outputs host_node::stop(time_point now, duration limit) {
+    outputs out = drain(now);
+    broker_.drain(now + limit);
+    return out;
+}
+
 outputs host_node::on_config(const records::snapshot_ptr& snapshot,
                              time_point now) {
     outputs out = convert(flows_.set_snapshot(snapshot, now), now);
--- a/packages/runtime/include/arbutusport/adapters/control_channel.hpp
+++ b/packages/runtime/include/arbutusport/adapters/control_channel.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <variant>
 
 namespace arbutusport::adapters {
 
@@ -59,8 +60,9 @@
 class control_client {
 public:
     /// @brief Called on a thread of the client, exactly once a request unless
-    /// the client ends first.
-    using on_done = std::function<void(result<bytes>)>;
+    /// the client ends first. A variant, because the error objects of a
+    /// result do not outlive the call in which they arose.
+    using on_done = std::function<void(std::variant<bytes, failure>)>;
 
     explicit control_client(control_client_options options = {});
     ~control_client();
--- a/packages/runtime/src/adapters/adapters_test.cpp
+++ b/packages/runtime/src/adapters/adapters_test.cpp
@@ -118,8 +118,8 @@
         // The second request takes the pooled connection of the first.
         for (int i = 0; i < 2; ++i) {
             std::promise<bytes> reply;
-            client.request(local, {1, 2, 3}, [&](result<bytes> it) {
-                reply.set_value(it ? it.value() : bytes{});
+            client.request(local, {1, 2, 3}, [&](const auto& it) {
+                reply.set_value(std::get<bytes>(it));
             });
             CPPUNIT_ASSERT((reply.get_future().get() == bytes{3, 2, 1}));
         }
@@ -134,6 +134,14 @@
         const auto taken = now() - start;
         CPPUNIT_ASSERT_EQUAL("request_control " + to_string(nobody), error);
         CPPUNIT_ASSERT(taken >= 100ms && taken < 2s);
+        // The pooled client reports the same on its own thread.
+        control_client client({.timeout = 100ms});
+        std::promise<std::string> step;
+        client.request(nobody, {2}, [&](const auto& it) {
+            step.set_value(std::get<failure>(it).step);
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string("request_control"),
+                             step.get_future().get());
     }
 
     void malformed_heads_are_refused() {
--- a/packages/runtime/src/adapters/control_client.cpp
+++ b/packages/runtime/src/adapters/control_client.cpp
@@ -124,7 +124,14 @@
             job it = std::move(jobs.front());
             jobs.pop_front();
             lock.unlock();
-            it.done(perform(it));
+            it.done(handle_failure(
+                [&]() -> result<std::variant<bytes, failure>> {
+                    BOOST_LEAF_AUTO(reply, perform(it));
+                    return std::variant<bytes, failure>(std::move(reply));
+                },
+                [](const failure& why) {
+                    return std::variant<bytes, failure>(why);
+                }));
         }
     }
 };
@@ -156,7 +163,7 @@
             return;
         }
     }
-    done(fail("request_control", to_string(peer), "too many requests wait"));
+    done(failure{"request_control", to_string(peer), "too many requests wait"});
 }
 
 } // namespace arbutusport::adapters
