--- a/packages/testing/include/arbutusport/emulator/load_client.hpp
+++ b/packages/testing/include/arbutusport/emulator/load_client.hpp
@@ -54,6 +54,7 @@
 class load_client {
 public:
     explicit load_client(client_options options);
+    load_client(load_client&& other) noexcept;
     ~load_client();
 
     std::vector<bytes> contribute(time_point now);
--- a/packages/testing/src/emulator/load_client.cpp
+++ b/packages/testing/src/emulator/load_client.cpp
@@ -383,6 +383,8 @@
 load_client::load_client(client_options options)
     : impl_(std::make_unique<impl>(std::move(options))) {}
 
+load_client::load_client(load_client&& other) noexcept = default;
+
 load_client::~load_client() = default;
 
 std::vector<bytes> load_client::contribute(time_point now) {
