Run scenarios in virtual time against the node layer

arbutus_scenario drives the same entry_node and host_node objects as arbutusd, with the emulated clients and upstreams of the load tool, and judges the history with the checker.

--- a/packages/arbutusd/include/arbutusport/daemon/packet_port.hpp
+++ b/packages/arbutusd/include/arbutusport/daemon/packet_port.hpp
@@ -5,7 +5,7 @@
 #include <arbutusport/base/bytes.hpp>
 #include <arbutusport/base/endpoint.hpp>
 #include <arbutusport/node/outputs.hpp>
-#include <arbutusport/records/records.hpp>
+#include <arbutusport/wire/make_keyring.hpp>
 #include <arbutusport/wire/packet.hpp>
 
 #include <functional>
@@ -14,11 +14,7 @@
 
 namespace arbutusport::daemon {
 
-using keyring_ptr = std::shared_ptr<const wire::keyring>;
-
-/// @brief A keyring of the published keys; records are validated before, so
-/// a secret that is not hexadecimal is skipped.
-keyring_ptr make_keyring(const std::vector<records::packet_key>& keys);
+using wire::keyring_ptr;
 
 /// @brief Thread-safe.
 class packet_port {
--- a/packages/arbutusd/src/daemon/packet_port.cpp
+++ b/packages/arbutusd/src/daemon/packet_port.cpp
@@ -2,26 +2,10 @@
 
 #include <arbutusport/daemon/packet_port.hpp>
 
-#include <sodium.h>
-
 #include <utility>
 
 namespace arbutusport::daemon {
 
-keyring_ptr make_keyring(const std::vector<records::packet_key>& keys) {
-    auto out = std::make_shared<wire::keyring>();
-    for (const records::packet_key& it : keys) {
-        wire::keyring::secret value{};
-        std::size_t size = 0;
-        const int ec =
-            sodium_hex2bin(value.data(), value.size(), it.secret_hex.data(),
-                           it.secret_hex.size(), nullptr, &size, nullptr);
-        if (ec == 0 && size == value.size())
-            out->add(it.id, value, it.state == records::key_state::active);
-    }
-    return out;
-}
-
 packet_port::packet_port(adapters::udp_socket socket)
     : socket_(std::move(socket)) {}
 
--- a/packages/arbutusd/src/daemon/process_core.cpp
+++ b/packages/arbutusd/src/daemon/process_core.cpp
@@ -113,7 +113,7 @@
 }
 
 void process_core::adopt(const node::configuration_changed& it) {
-    port_.set_keys(make_keyring(it.snapshot->keys));
+    port_.set_keys(wire::make_keyring(it.snapshot->keys));
     refused_.reset();
     ++metrics_.count("arbutus_configurations_total");
     log_event(severity::info, "configuration_in_force")
--- a/packages/core/src/node/control_plane.cpp
+++ b/packages/core/src/node/control_plane.cpp
@@ -46,12 +46,15 @@
       members_({.self = options_.self,
                 .run = options_.run,
                 .seed = hash_combine(options_.seed, 1)}),
-      sync_(
-          {.self = options_.self,
-           .data_centre = options_.data_centre,
-           .seeds = options_.seeds,
-           .seed = hash_combine(options_.seed, 2),
-           .is_down = [this](process_id id) { return members_.is_down(id); }}) {
+      sync_({.self = options_.self,
+             .data_centre = options_.data_centre,
+             .seeds = options_.seeds,
+             .seed = hash_combine(options_.seed, 2),
+             .is_down = [this](process_id id) { return members_.is_down(id); },
+             .take_events = [this] { return members_.take_events(); },
+             .on_events =
+                 [this](const std::vector<membership::member_event>& events,
+                        time_point now) { members_.on_events(events, now); }}) {
 }
 
 outputs control_plane::on_tick(time_point now) {
--- /dev/null
+++ b/packages/testing/include/arbutusport/emulator/scenario_runner.hpp
@@ -0,0 +1,36 @@
+// Runs one scenario in virtual time and judges its expectations.
+#pragma once
+
+#include <arbutusport/emulator/history_checker.hpp>
+#include <arbutusport/emulator/scenario.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace arbutusport::emulator {
+
+struct unmet_expectation {
+    expectation expected;
+    double found = 0;
+};
+
+struct scenario_result {
+    /// By name; see docs/scenarios.md.
+    std::map<std::string, double> figures;
+    std::vector<violation> violations;
+    std::vector<unmet_expectation> unmet;
+    history events;
+
+    bool passed() const { return unmet.empty(); }
+};
+
+/// @brief Throws std::runtime_error for a name that nothing matches or a
+/// figure that does not exist. `records_root` is examples/records.
+scenario_result run_scenario(const scenario& plan,
+                             const std::string& records_root);
+
+/// @brief "line 12: expect double_runs == 0, found 3".
+std::string to_string(const unmet_expectation& it);
+
+} // namespace arbutusport::emulator
