Tell the request layer which hosts are gone

Cause: requests bound to a dead host were passed on to it for ever, because the broker's is_down hook was not set. Ruled out: lost claims (no drop by query) and the clients' time-outs.

--- a/packages/core/include/arbutusport/node/host_node.hpp
+++ b/packages/core/include/arbutusport/node/host_node.hpp
@@ -61,6 +61,8 @@
     void apply(requests::broker_action action, outputs& out, time_point now);
     void execute_at_peer(const requests::execute_elsewhere& it, outputs& out);
     void reply_to_peer(const requests::execute_done& it, outputs& out) const;
+    /// Down, out or not in the configuration.
+    bool is_gone(process_id id) const;
     const records::host* find_host(process_id id) const;
 
     host_node_options options_;
--- a/packages/core/src/node/host_node.cpp
+++ b/packages/core/src/node/host_node.cpp
@@ -64,6 +64,7 @@
           it.self = options_.self;
           it.run = options_.run;
           it.seed = hash_combine(options_.seed, 4);
+          it.is_down = [this](process_id id) { return is_gone(id); };
           return it;
       }()) {}
 
@@ -239,6 +240,12 @@
     out.push_back(std::move(packet));
 }
 
+bool host_node::is_gone(process_id id) const {
+    const records::host* it = find_host(id);
+    return !it || it->state == records::host_state::out ||
+           control_.is_down(id);
+}
+
 const records::host* host_node::find_host(process_id id) const {
     const auto snapshot = control_.current();
     const auto* service =
