Repeat replaced notifications; count each broken session once

Cause 1: a notification that replaced an unacknowledged one reset its repetition timer, so that an upstream that notifies every second never had one repeated through another entry (RFC 7641, 4.5.2). The owner now also keeps the other entry after a repetition. Cause 2: the load client counted every request under a refused binding as a broken flow, and told a read as not run although an earlier block had run. Ruled out: lost queries, wrong dedup entries (all false_not_run were reads).

--- a/packages/core/src/flows/flow_path.cpp
+++ b/packages/core/src/flows/flow_path.cpp
@@ -282,8 +282,9 @@
     if (!snapshot_)
         return {};
     endpoint entry;
-    if (const auto it = flows_.find(flow); it != flows_.end())
-        entry = it->second.reply_entry;
+    const auto owned = flows_.find(flow);
+    if (owned != flows_.end())
+        entry = owned->second.reply_entry;
     else if (const auto* bound = bound_entries_.find(flow))
         entry = *bound;
     else
@@ -298,6 +299,9 @@
                 others.push_back(it.packets);
         if (!others.empty())
             entry = others[random_() % others.size()];
+        // Kept, since the last entry may be dead and not yet known to be.
+        if (owned != flows_.end())
+            owned->second.reply_entry = entry;
     }
     wire::candidate to{process_id(), entry};
     // An entry that this configuration does not have is known by address
--- a/packages/core/src/requests/observations.cpp
+++ b/packages/core/src/requests/observations.cpp
@@ -80,10 +80,16 @@
     response.erase(options::observe);
     response.add_uint(options::observe, it.sequence);
     it.last = std::move(response);
-    it.acknowledged = false;
-    it.repetitions = 0;
-    it.repeat_after = first_repetition;
-    set_due(key, it, now + it.repeat_after);
+    // A notification that replaces an unacknowledged one goes on with its
+    // repetitions (RFC 7641, 4.5.2). Starting anew would never repeat one of
+    // an upstream that notifies more often than the first repetition, and so
+    // never try another entry.
+    if (it.acknowledged) {
+        it.acknowledged = false;
+        it.repetitions = 0;
+        it.repeat_after = first_repetition;
+        set_due(key, it, now + it.repeat_after);
+    }
     return it.last;
 }
 
--- a/packages/testing/include/arbutusport/emulator/load_client.hpp
+++ b/packages/testing/include/arbutusport/emulator/load_client.hpp
@@ -41,8 +41,11 @@
     std::uint64_t unknown = 0;
     std::uint64_t timeout = 0;
     /// Sessions that ended without a closing notice: the binding was
-    /// refused or an observation fell silent.
+    /// refused, or another host answers. Each end counts once, however many
+    /// requests were open.
     std::uint64_t broken_flows = 0;
+    /// Observations that fell silent and were registered again.
+    std::uint64_t silent_observations = 0;
     std::uint64_t closing_notices = 0;
     std::uint64_t notifications = 0;
     std::uint64_t restarted_transfers = 0;
--- a/packages/testing/src/emulator/load_client.cpp
+++ b/packages/testing/src/emulator/load_client.cpp
@@ -120,7 +120,7 @@
         it.copies = 1;
         it.acknowledged = false;
         it.timeout = draw_timeout();
-        it.next = now + it.timeout;
+        it.next = earliest(now + it.timeout, it);
         out_.push_back(requests::serialise(it.message));
         operations_[it.message.token] = std::move(it);
     }
@@ -154,7 +154,7 @@
                 continue;
             if (it.type == coap_type::acknowledgement && !op.acknowledged) {
                 op.acknowledged = true;
-                op.next = now + options_.response_wait;
+                op.next = earliest(now + options_.response_wait, op);
             }
             // The host knows nothing of the exchange: ask again soon.
             if (it.type == coap_type::reset)
@@ -170,9 +170,8 @@
         case codes::unavailable:
             return on_refused(std::move(op), it, now);
         case codes::gateway_timeout:
-            // The binding was refused: its session is gone.
             if (!op.echo.empty() && it.find(option::echo))
-                ++counters_.broken_flows;
+                note_broken_flow(op.first_sent, now);
             return on_unknown(std::move(op), now);
         case codes::incomplete:
             if (op.kind == request_kind::text)
@@ -199,7 +198,7 @@
     void on_unbound(operation op, const coap_message& it, time_point now) {
         const auto echo = it.find(option::echo);
         if (!op.echo.empty())
-            ++counters_.broken_flows;
+            note_broken_flow(op.first_sent, now);
         if (!echo) {
             ++counters_.unexpected_codes;
             return on_unknown(std::move(op), now);
@@ -213,7 +212,12 @@
         if (closing) {
             ++counters_.closing_notices;
             echo_.clear();
+            host_.clear();
         }
+        // An earlier block or copy of a read may have run, so the read as a
+        // whole is not "not run"; the block is asked for again.
+        if (op.kind == request_kind::text)
+            return postpone(std::move(op), now);
         const retry again{op.kind, op.text};
         if (!op.established)
             tell(op, {.result = outcome::not_run}, now);
@@ -222,6 +226,36 @@
         schedule(again, now, closing);
     }
 
+    // Asks again in a new message after a pause.
+    void postpone(operation op, time_point now) {
+        op.acknowledged = true;
+        op.next = earliest(now + options_.backoff, op);
+        operations_[op.message.token] = std::move(op);
+    }
+
+    // The session ended unless the request belongs to one that is already
+    // known to have ended.
+    void note_broken_flow(time_point request_sent, time_point now) {
+        if (request_sent < last_break_)
+            return;
+        ++counters_.broken_flows;
+        last_break_ = now;
+    }
+
+    // Contributions and notifications come from the host of the session.
+    void note_host(const coap_message& it, time_point request_sent,
+                   time_point now) {
+        const payload got = parse_payload(requests::payload_text(it));
+        const std::string host = field(got.fields, "host");
+        if (!host_.empty() && host != host_)
+            note_broken_flow(request_sent, now);
+        host_ = host;
+    }
+
+    time_point earliest(time_point next, const operation& it) const {
+        return std::min(next, it.first_sent + options_.request_timeout);
+    }
+
     void on_unknown(operation op, time_point now) {
         const bool observing = op.kind == request_kind::observation;
         if (!op.established)
@@ -231,6 +265,7 @@
     }
 
     void on_contribution(operation op, const coap_message& it, time_point now) {
+        note_host(it, op.first_sent, now);
         tell(op, judge_contribution(op, it), now);
     }
 
@@ -259,6 +294,7 @@
 
     void on_notification(operation op, const coap_message& it, time_point now) {
         ++counters_.notifications;
+        note_host(it, now, now);
         if (!op.established)
             tell(op, judge_notification(it), now);
         op.established = true;
@@ -272,7 +308,7 @@
         const auto found = operations_.find(token);
         operation& it = found->second;
         if (it.established) {
-            ++counters_.broken_flows;
+            ++counters_.silent_observations;
             const retry again{it.kind, it.text};
             forget(token);
             operations_.erase(found);
@@ -287,7 +323,7 @@
         if (!it.acknowledged && it.copies <= options_.max_retransmit) {
             ++it.copies;
             it.timeout *= 2;
-            it.next = now + it.timeout;
+            it.next = earliest(now + it.timeout, it);
             out_.push_back(requests::serialise(it.message));
             return;
         }
@@ -370,6 +406,9 @@
     bool stopping_ = false;
     // The latest binding of the session.
     bytes echo_;
+    // The host that runs the session, as its answers name it.
+    std::string host_;
+    time_point last_break_;
     // By the token of the present exchange.
     std::map<bytes, operation> operations_;
     std::deque<bytes> ended_;
--- a/packages/testing/src/emulator/scenario_runner.cpp
+++ b/packages/testing/src/emulator/scenario_runner.cpp
@@ -231,6 +231,7 @@
         out["unknown"] = static_cast<double>(n.unknown);
         out["timeout"] = static_cast<double>(n.timeout);
         out["broken_flows"] = static_cast<double>(n.broken_flows);
+        out["silent_observations"] = static_cast<double>(n.silent_observations);
         out["closing_notices"] = static_cast<double>(n.closing_notices);
         out["notifications"] = static_cast<double>(n.notifications);
         out["unexpected_codes"] = static_cast<double>(n.unexpected_codes);
--- a/packages/testing/src/emulator/virtual_clients.cpp
+++ b/packages/testing/src/emulator/virtual_clients.cpp
@@ -117,6 +117,7 @@
         out.unknown += n.unknown;
         out.timeout += n.timeout;
         out.broken_flows += n.broken_flows;
+        out.silent_observations += n.silent_observations;
         out.closing_notices += n.closing_notices;
         out.notifications += n.notifications;
         out.retransmissions += n.retransmissions;
