--- a/packages/core/include/arbutusport/records/parse.hpp
+++ b/packages/core/include/arbutusport/records/parse.hpp
@@ -14,9 +14,11 @@
 inline constexpr std::size_t max_record_size = 1'000'000;
 
 /// @brief Parses and validates a whole set. One malformed record refuses it:
-/// the error is the first that check_records would list.
-result<snapshot_ptr> build_snapshot(generation gen,
-                                    std::vector<raw_record> set);
+/// the error is the first that check_records would list. `base`, if any, is
+/// an accepted set: its services whose records are unchanged are not parsed
+/// again.
+result<snapshot_ptr> build_snapshot(generation gen, std::vector<raw_record> set,
+                                    const snapshot_ptr& base = nullptr);
 
 /// @brief Every error of a set; empty if build_snapshot accepts it. `peer` is
 /// the record's key, `reason` is "<field path>: found <x>, allowed <y>".
--- a/packages/core/src/config/config_sync.cpp
+++ b/packages/core/src/config/config_sync.cpp
@@ -180,7 +180,7 @@
     const auto digest = records::digest_of(set);
     const auto it = handle_failure(
         [&]() -> result<records::snapshot_ptr> {
-            return records::build_snapshot(gen, std::move(set));
+            return records::build_snapshot(gen, std::move(set), base());
         },
         [&](const failure& why) -> records::snapshot_ptr {
             refuse(gen, digest, why, out);
--- a/packages/core/src/config/config_sync_test.cpp
+++ b/packages/core/src/config/config_sync_test.cpp
@@ -48,7 +48,7 @@
     it->on_head(head_of(make_set(1), {1, 1}), now);
     it->on_tick(now);
     it->on_records(make_set(1), now);
-    CPPUNIT_ASSERT(it->current() && it->current()->gen == generation(1, 1));
+    CPPUNIT_ASSERT((it->current() && it->current()->gen == generation{1, 1}));
     return it;
 }
 
@@ -89,7 +89,7 @@
         const auto list = it->on_records({make_set(3)[1]}, now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, list.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count<watch_head>(list));
-        CPPUNIT_ASSERT(it->current()->gen == generation(1, 1));
+        CPPUNIT_ASSERT((it->current()->gen == generation{1, 1}));
     }
 
     void an_older_record_is_not_adopted() {
@@ -97,7 +97,7 @@
         const auto it = make_started(now);
         ask_records(*it, head_of(make_set(3), {1, 3}), now);
         CPPUNIT_ASSERT(it->on_records({make_set(2)[1]}, now).empty());
-        CPPUNIT_ASSERT(it->current()->gen == generation(1, 1));
+        CPPUNIT_ASSERT((it->current()->gen == generation{1, 1}));
         // It tries again although it is no reader.
         now += 2s;
         CPPUNIT_ASSERT_EQUAL(std::size_t{1},
@@ -139,7 +139,7 @@
                  {byte_view(noise), byte_view(data)}) {
                 it->on_request(message, now);
                 it->on_reply({1, 1}, message, now);
-                RC_ASSERT(it->current()->gen == generation(1, 1));
+                RC_ASSERT((it->current()->gen == generation{1, 1}));
             }
         });
         CPPUNIT_ASSERT(ok);
--- a/packages/core/src/membership/member_table.cpp
+++ b/packages/core/src/membership/member_table.cpp
@@ -100,7 +100,7 @@
         if (!it.unanswered_since)
             it.unanswered_since = now;
     } else {
-        it.unanswered_since.reset();
+        it.answered();
     }
     if (next.state == member_state::alive)
         not_alive_.erase(next.id);
--- a/packages/core/src/membership/probing.cpp
+++ b/packages/core/src/membership/probing.cpp
@@ -14,6 +14,9 @@
 // Finds members that come back, and lets both sides of a healed partition
 // hear of each other.
 constexpr std::uint64_t down_probe_every = 10;
+// Expected number of processes that do so; all of a large fleet would load a
+// member that just came back with hundreds of probes a second.
+constexpr std::uint64_t down_probers = 32;
 // News that cannot wait for the next probe go to this many members at once.
 constexpr std::size_t push_fanout = 3;
 constexpr std::size_t max_relays = 256;
@@ -52,9 +55,9 @@
         pending_.clear();
         relays_.clear();
         const auto gap = now - *last_tick_;
-        for (const auto& [id, unused] : roster_.all())
-            if (member* it = roster_.find(id); it->unanswered_since)
-                *it->unanswered_since += gap;
+        for (auto& [id, it] : roster_.all())
+            if (it.unanswered_since)
+                *it.unanswered_since += gap;
     }
     last_tick_ = now;
 }
@@ -69,6 +72,7 @@
         const auto waited = now - probe.sent;
         if (target && !probe.indirect && waited >= settings_.probe_timeout) {
             probe.indirect = true;
+            target->unanswered_here = true;
             if (!target->unanswered_since)
                 target->unanswered_since = now;
             ask_others(sequence, probe.target, out);
@@ -102,14 +106,13 @@
 }
 
 void member_table::impl::check_suspects(time_point now) {
-    for (const auto& [id, unused] : roster_.all()) {
-        member* it = roster_.find(id);
-        if (it->is_down() || !it->unanswered_since ||
-            now - *it->unanswered_since < settings_.suspect_timeout)
+    for (auto& [id, it] : roster_.all()) {
+        if (it.is_down() || !it.unanswered_since ||
+            now - *it.unanswered_since < settings_.suspect_timeout)
             continue;
-        member_event next = it->event;
+        member_event next = it.event;
         next.state = member_state::down;
-        change(*it, next, now);
+        change(it, next, now);
     }
 }
 
@@ -120,14 +123,15 @@
     if (roster_.probes_any() && rounds_ % random_probe_every == 0)
         for (const process_id id : roster_.sample(1, settings_.self, random_))
             probe(*roster_.find(id), now, out);
-    // Every suspected member is probed again, so that it hears of the
-    // suspicion and can refute it.
-    for (const auto& [id, unused] : roster_.all())
-        if (member* it = roster_.find(id);
-            it->unanswered_since && !it->is_down() && id != settings_.self)
-            out.push_back({probe_kind::probe, id, it->packets,
-                           make_body(++last_sequence_, id, it->event)});
-    if (rounds_ % down_probe_every != 0 || not_alive_.empty())
+    // A member that did not answer is probed again, so that it hears of the
+    // suspicion and can refute it; only by this process, since all the others
+    // hear of the suspicion too and would overload it.
+    for (const auto& [id, it] : roster_.all())
+        if (it.unanswered_here && !it.is_down())
+            out.push_back({probe_kind::probe, id, it.packets,
+                           make_body(++last_sequence_, id, it.event)});
+    if (rounds_ % down_probe_every != 0 || not_alive_.empty() ||
+        random_() % roster_.size() >= down_probers)
         return;
     auto it = not_alive_.lower_bound(process_id(random_()));
     if (it == not_alive_.end())
@@ -223,7 +227,7 @@
     const member_event& first = it.events.front();
     if (first.id == it.subject && first.run >= subject->event.run &&
         subject->event.state != member_state::suspect && !subject->is_down())
-        subject->unanswered_since.reset();
+        subject->answered();
 }
 
 } // namespace arbutusport::membership
--- a/packages/core/src/membership/roster.hpp
+++ b/packages/core/src/membership/roster.hpp
@@ -20,6 +20,13 @@
     /// down once this lasts for the suspicion time-out.
     std::optional<time_point> unanswered_since;
 
+    /// True if this process itself got no answer.
+    bool unanswered_here = false;
+
+    void answered() {
+        unanswered_since.reset();
+        unanswered_here = false;
+    }
     bool is_down() const { return event.state == member_state::down; }
 };
 
@@ -35,6 +42,7 @@
     std::size_t size() const { return members_.size(); }
     /// @brief True if this process is an entry, or probes as entries do.
     bool probes_any() const { return probes_any_; }
+    std::unordered_map<process_id, member>& all() { return members_; }
     const std::unordered_map<process_id, member>& all() const {
         return members_;
     }
--- a/packages/core/src/records/parse.cpp
+++ b/packages/core/src/records/parse.cpp
@@ -6,6 +6,8 @@
 #include <arbutusport/records/parse.hpp>
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
 
 namespace arbutusport::records {
 
@@ -187,13 +189,35 @@
     std::ranges::sort(out.entries, {}, &entry::id);
 }
 
+// The services of an accepted set by the text of their records.
+using known_services = std::unordered_map<std::string_view, const service*>;
+
+known_services index_services(const snapshot_ptr& base) {
+    known_services out;
+    if (!base)
+        return out;
+    std::unordered_map<std::string, const service*> by_key;
+    for (const service& it : base->services)
+        by_key.emplace("service/" + it.name, &it);
+    for (const raw_record& it : base->raw)
+        if (const auto found = by_key.find(it.key); found != by_key.end())
+            out.emplace(it.json, found->second);
+    return out;
+}
+
 parsed_set parse_set(generation gen, const std::vector<raw_record>& raw,
+                     const known_services& known,
                      std::vector<failure>& errors) {
     parsed_set set;
     set.out.gen = gen;
     check_keys(raw, errors);
-    for (const raw_record& it : raw)
-        read_record(it, set, errors);
+    for (const raw_record& it : raw) {
+        const auto found = known.find(it.json);
+        if (found != known.end() && it.key == "service/" + found->second->name)
+            set.out.services.push_back(*found->second);
+        else
+            read_record(it, set, errors);
+    }
     // Hosts still stand in the order of the record, so that paths are right.
     check_set(set, errors);
     sort_hosts(set.out);
@@ -202,13 +226,18 @@
 
 } // namespace
 
-result<snapshot_ptr> build_snapshot(generation gen,
-                                    std::vector<raw_record> raw) {
+result<snapshot_ptr> build_snapshot(generation gen, std::vector<raw_record> raw,
+                                    const snapshot_ptr& base) {
     std::ranges::sort(raw, {}, &raw_record::key);
     std::vector<failure> errors;
-    parsed_set set = parse_set(gen, raw, errors);
-    if (!errors.empty())
+    parsed_set set = parse_set(gen, raw, index_services(base), errors);
+    if (!errors.empty()) {
+        // Copied services are sorted, so the paths of their hosts are not
+        // those of the record.
+        if (base)
+            return build_snapshot(gen, std::move(raw));
         return leaf::new_error(errors.front());
+    }
     set.out.raw = std::move(raw);
     return std::make_shared<const snapshot>(std::move(set.out));
 }
@@ -218,7 +247,7 @@
     std::vector<raw_record> sorted = raw;
     std::ranges::sort(sorted, {}, &raw_record::key);
     std::vector<failure> errors;
-    parse_set(gen, sorted, errors);
+    parse_set(gen, sorted, {}, errors);
     return errors;
 }
 
--- a/packages/core/src/records/records_test.cpp
+++ b/packages/core/src/records/records_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(refuses_a_set_for_one_malformed_record);
     CPPUNIT_TEST(suggests_the_nearest_field);
     CPPUNIT_TEST(delta_restores_the_newer_set);
+    CPPUNIT_TEST(reuse_of_parsed_services_changes_nothing);
     CPPUNIT_TEST(delta_needs_its_base_and_digest);
     CPPUNIT_TEST(survives_hostile_bytes);
     CPPUNIT_TEST(diff_tells_which_flows_may_end);
@@ -197,6 +198,19 @@
                        generation{});
     }
 
+    void reuse_of_parsed_services_changes_nothing() {
+        const auto old = build({1, 1}, read_example("consulta-sul"));
+        const auto set =
+            patched(old->raw, "service/participa", "/hosts/0/weight", 2);
+        const auto it = build_snapshot({1, 2}, set, old).value();
+        CPPUNIT_ASSERT(diff(*build({1, 2}, set), *it).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, diff(*old, *it).size());
+        // A collision with a service that was not parsed again is found.
+        const auto bad = patched(old->raw, "service/participa",
+                                 "/hosts/0/packets", "127.10.2.1:7000");
+        CPPUNIT_ASSERT(fails([&] { return build_snapshot({1, 2}, bad, old); }));
+    }
+
     void delta_needs_its_base_and_digest() {
         const auto old = build({1, 1}, read_example("consulta-sul"));
         const auto it = build({1, 2}, patched(old->raw, "service/participa",
--- a/packages/testing/src/emulator/config_fleet.cpp
+++ b/packages/testing/src/emulator/config_fleet.cpp
@@ -170,11 +170,11 @@
 void config_fleet::deliver(std::size_t from, std::size_t to,
                            const bytes& request) {
     auto answer = processes_[to].sync->on_request(request, now_);
-    transmit(to, from, answer.reply.size(),
-             [this, from, to, reply = std::move(answer.reply)] {
-                 carry_out(from, processes_[from].sync->on_reply(
-                                     processes_[to].control, reply, now_));
-             });
+    const std::size_t size = answer.reply.size();
+    transmit(to, from, size, [this, from, to, reply = std::move(answer.reply)] {
+        carry_out(from, processes_[from].sync->on_reply(processes_[to].control,
+                                                        reply, now_));
+    });
     carry_out(to, answer.actions);
 }
 
