--- a/packages/core/src/flows/flow_claims.cpp
+++ b/packages/core/src/flows/flow_claims.cpp
@@ -96,31 +96,37 @@
             return send_reply(message, reply);
         }
         settle(own, claimant);
-    } else if (const auto* known = redirects_.find(message.flow);
-               known != nullptr && known->to.id != message.sender &&
-               !is_down(known->to.id)) {
-        reply.status = wire::ownership::redirects;
-        reply.owner = known->to;
     }
-    reply.permit = admit(message, *body, now);
+    admit(message, *body, reply, now);
     send_reply(message, reply);
 }
 
-// Redirects the flow to the claimant and returns the permit to place it. A
-// retry gets the same permit.
-std::uint64_t flow_owner::impl::admit(const wire::packet& message,
-                                      const wire::query_body& body,
-                                      time_point now) {
-    const redirect* known = redirects_.find(message.flow);
-    const bool retried = known != nullptr && known->to.id == message.sender &&
-                         known->claim == body.claim && known->permit != 0;
-    const std::uint64_t permit = retried ? known->permit : ++last_permit_;
-    const auto lifetime =
-        options_.query_timeout *
-        (2 * (static_cast<int>(options_.query_retries) + 1) + permit_margin);
-    redirects_.put(message.flow, {message.candidates.front(), body.claim,
-                                  permit, now + lifetime});
-    return permit;
+// Redirects the flow to the claimant, names the host to which it was
+// redirected before, and gives a permit to place the flow. Every retry of a
+// query gets the same answer, since the first reply may be lost.
+void flow_owner::impl::admit(const wire::packet& message,
+                             const wire::query_body& body,
+                             wire::query_reply_body& reply, time_point now) {
+    const wire::candidate claimant = message.candidates.front();
+    redirect next{claimant, body.claim, 0, time_point(), {}};
+    if (const redirect* known = redirects_.find(message.flow)) {
+        const bool same = known->to.id == claimant.id;
+        next.before = same ? known->before : known->to;
+        if (same && known->claim == body.claim)
+            next.permit = known->permit;
+    }
+    if (next.permit == 0)
+        next.permit = ++last_permit_;
+    next.permit_expires =
+        now + options_.query_timeout *
+                  (2 * (static_cast<int>(options_.query_retries) + 1) +
+                   permit_margin);
+    if (next.before.packets.port != 0 && !is_down(next.before.id)) {
+        reply.status = wire::ownership::redirects;
+        reply.owner = next.before;
+    }
+    reply.permit = next.permit;
+    redirects_.put(message.flow, next);
 }
 
 wire::query_reply_body flow_owner::impl::reply_body(slot_index slot,
--- a/packages/core/src/flows/flow_owner_impl.hpp
+++ b/packages/core/src/flows/flow_owner_impl.hpp
@@ -64,6 +64,8 @@
         std::uint64_t claim = 0;
         std::uint64_t permit = 0;
         time_point permit_expires;
+        // The target before the query; the reply to each retry names it.
+        wire::candidate before;
     };
 
     struct asked_peer {
@@ -141,8 +143,8 @@
     wire::query_reply_body reply_body(slot_index slot, std::uint64_t claim,
                                       time_point now) const;
     void send_reply(const wire::packet& to, const wire::query_reply_body& it);
-    std::uint64_t admit(const wire::packet& message,
-                        const wire::query_body& body, time_point now);
+    void admit(const wire::packet& message, const wire::query_body& body,
+               wire::query_reply_body& reply, time_point now);
 
     flow_options options_;
     records::snapshot_ptr snapshot_;
--- a/packages/core/src/flows/flow_path.cpp
+++ b/packages/core/src/flows/flow_path.cpp
@@ -239,6 +239,10 @@
     for (std::size_t i = 0; i < flows_in_slot_.size(); ++i)
         body.slots[i] = flows_in_slot_[i] > 0;
     send(wire::message_type::holders, {}, to, wire::encode(body));
+    // Mentions hosts that left the configuration, behind the own address.
+    auto& candidates = std::get<send_packet>(out_.back()).message.candidates;
+    for (const auto& it : cover_.unconfigured(wire::max_candidates - 1))
+        candidates.push_back(it);
 }
 
 void flow_owner::impl::on_holders(const wire::packet& message, time_point) {
@@ -252,6 +256,9 @@
         message.candidates.front().id != message.sender)
         return drop(drop_reason::malformed_body, message.sender);
     const wire::candidate from = message.candidates.front();
+    for (const auto& it : message.candidates)
+        if (it.id != from.id)
+            cover_.on_mentioned(it);
     if (cover_.on_holders(from, *body) && !body->is_reply &&
         cover_.hosts_digest() != 0)
         send_holders(from, true, body->gen);
--- a/packages/core/src/flows/peer_cover.cpp
+++ b/packages/core/src/flows/peer_cover.cpp
@@ -57,21 +57,38 @@
         it.gen.reset();
 }
 
+peer_cover::peer* peer_cover::add_unconfigured(const wire::candidate& it) {
+    const auto n = std::ranges::count_if(
+        peers_, [](const auto& entry) { return !entry.second.is_configured; });
+    if (static_cast<std::size_t>(n) >= max_unconfigured)
+        return nullptr;
+    peer& added = peers_[it.id];
+    added.address = it;
+    added.is_configured = false;
+    return &added;
+}
+
+void peer_cover::on_mentioned(const wire::candidate& it) {
+    if (it.id != self_ && it.packets.port != 0 && !peers_.contains(it.id))
+        add_unconfigured(it);
+}
+
+std::vector<wire::candidate> peer_cover::unconfigured(std::size_t limit) const {
+    std::vector<wire::candidate> out;
+    for (const auto& [id, it] : peers_)
+        if (!it.is_configured && !is_down(id) && out.size() < limit)
+            out.push_back(it.address);
+    return out;
+}
+
 bool peer_cover::on_holders(const wire::candidate& from,
                             const wire::holders_body& body) {
-    auto found = peers_.find(from.id);
-    if (found == peers_.end()) {
-        const auto n = std::ranges::count_if(
-            peers_, [](const auto& it) { return !it.second.is_configured; });
-        if (static_cast<std::size_t>(n) >= max_unconfigured)
-            return false;
-        found = peers_.try_emplace(from.id).first;
-        found->second.address = from;
-        found->second.is_configured = false;
-        // It is asked for every flow until its bitmap matches.
-        found->second.has_taken = true;
-    }
-    peer& it = found->second;
+    const auto found = peers_.find(from.id);
+    peer* known =
+        found == peers_.end() ? add_unconfigured(from) : &found->second;
+    if (known == nullptr)
+        return false;
+    peer& it = *known;
     if (body.is_reply && body.taken >= announced_gen_)
         it.has_taken = true;
     if (!it.gen || body.gen > *it.gen) {
--- a/packages/core/src/flows/peer_cover.hpp
+++ b/packages/core/src/flows/peer_cover.hpp
@@ -40,6 +40,13 @@
     bool on_holders(const wire::candidate& from,
                     const wire::holders_body& body);
 
+    /// @brief A peer that another one knows and this one may not: a host that
+    /// left the configuration before this one joined it.
+    void on_mentioned(const wire::candidate& it);
+
+    /// @brief Live peers outside the configuration, at most `limit`.
+    std::vector<wire::candidate> unconfigured(std::size_t limit) const;
+
     /// @brief Peers that are due to be sent the held slots.
     std::vector<wire::candidate> due(time_point now);
 
@@ -80,6 +87,7 @@
         std::shared_ptr<const routing::slot_table> table;
     };
 
+    peer* add_unconfigured(const wire::candidate& it);
     bool is_down(process_id id) const { return is_down_ && is_down_(id); }
     bool ranks(const ranking& it, slot_index slot, process_id id) const;
     bool all_have_taken() const;
--- a/packages/testing/include/arbutusport/emulator/flow_network.hpp
+++ b/packages/testing/include/arbutusport/emulator/flow_network.hpp
@@ -33,6 +33,7 @@
     /// The membership reports a death between these times after it.
     duration min_detection = std::chrono::seconds(1);
     duration max_detection = std::chrono::seconds(5);
+    std::size_t max_redirects = 32'768;
     flows::flow_guards enabled;
 };
 
@@ -64,6 +65,8 @@
     void pause(process_id id, time_point until);
     void set_accepting(process_id id, bool accepting);
 
+    void set_loss(double share) { options_.loss = share; }
+
     /// @brief Each process adopts `snapshot` after up to `max_delay`.
     void publish(const records::snapshot_ptr& snapshot, duration max_delay);
 
--- a/packages/testing/src/emulator/flow_network.cpp
+++ b/packages/testing/src/emulator/flow_network.cpp
@@ -62,6 +62,7 @@
     added->host = std::make_unique<flows::flow_owner>(flows::flow_options{
         .self = it.id,
         .service = service,
+        .max_redirects = options_.max_redirects,
         .is_down = [this,
                     id = it.id](process_id peer) { return is_down(id, peer); },
         .entry_is_down =
