--- a/packages/arbutusd/src/daemon/run_daemon.cpp
+++ b/packages/arbutusd/src/daemon/run_daemon.cpp
@@ -33,18 +33,20 @@
 int wait_for_stop(role_process& process, const sigset_t& signals) {
     bool stopping = false;
     while (!process.stopped()) {
-        if (sigtimedwait(&signals, nullptr, &poll_interval) < 0)
+        const int signal = sigtimedwait(&signals, nullptr, &poll_interval);
+        if (signal < 0)
             continue;
         if (stopping) {
-            log_event(severity::warning, "stopped_at_once");
+            log_event(severity::warning, "stopped_at_once")
+                .field("exit_code", exit_failed);
             // Without destructors: threads may wait for time-outs.
             ::_exit(exit_failed);
         }
         stopping = true;
-        log_event(severity::info, "stopping");
+        log_event(severity::info, "stopping").field("signal", signal);
         process.begin_stop();
     }
-    log_event(severity::info, "stopped");
+    log_event(severity::info, "stopped").field("exit_code", exit_ok);
     return exit_ok;
 }
 
--- a/packages/runtime/src/telemetry/slo_burn.cpp
+++ b/packages/runtime/src/telemetry/slo_burn.cpp
@@ -112,7 +112,7 @@
         auto& slot = next[service.name];
         if (const auto old = services_.find(service.name);
             old != services_.end())
-            slot = std::move(old->second);
+            slot = old->second;
         slot.targets = {service.goals.flows_kept, service.goals.requests_served,
                         service.goals.requests_in_time};
     }
