--- a/packages/testing/include/arbutusport/emulator/deployment.hpp
+++ b/packages/testing/include/arbutusport/emulator/deployment.hpp
@@ -41,9 +41,12 @@
 
     /// @brief The entries to which the fabric sends, by name.
     void set_entries(const std::vector<std::string>& names);
-    /// @brief "up", "down", "hang", "stale" or "slow".
-    void set_platform(const std::string& mode);
-    void publish(const std::string& key, const std::string& record);
+    /// @brief "up", "down", "hang", "stale" or "slow", for every reader or
+    /// for those of one data centre.
+    void set_platform(const std::string& mode,
+                      const std::string& data_centre = {});
+    /// @brief Returns the platform's new generation, as "epoch.revision".
+    std::string publish(const std::string& key, const std::string& record);
     /// @brief Publishes the host as draining and notes it in its history.
     void drain(const std::string& service, const std::string& host);
 
--- a/packages/testing/src/emulator/deployment.cpp
+++ b/packages/testing/src/emulator/deployment.cpp
@@ -46,8 +46,7 @@
     while (true) {
         const auto address = static_cast<std::uint32_t>(
             first + hash_combine(self, used++) % count);
-        const endpoint platform =
-            make_plan({.address = address}).platform;
+        const endpoint platform = make_plan({.address = address}).platform;
         try {
             const Poco::Net::ServerSocket probe(
                 Poco::Net::SocketAddress(to_string(platform)));
@@ -124,13 +123,16 @@
         post(plan_.fabric_admin, "/admin/fabric", {{"entries", list}});
     }
 
-    void set_platform(const std::string& mode) {
-        post(plan_.platform_admin, "/admin/mode", {{"mode", mode}});
+    void set_platform(const std::string& mode, const std::string& data_centre) {
+        json body{{"mode", mode}};
+        if (!data_centre.empty())
+            body["data_centre"] = data_centre;
+        post(plan_.platform_admin, "/admin/mode", body);
     }
 
-    void publish(const std::string& key, const std::string& record) {
+    std::string publish(const std::string& key, const std::string& record) {
         plan_.records[key] = record;
-        send(plan_.platform_admin, "/admin/records/" + key, record);
+        return send(plan_.platform_admin, "/admin/records/" + key, record);
     }
 
     void drain(const std::string& service, const std::string& host) {
@@ -178,8 +180,8 @@
             options_.directory + "/" + it.name + ".log", it.program};
         arguments.insert(arguments.end(), it.arguments.begin(),
                          it.arguments.end());
-        running_.insert_or_assign(
-            it.name, Poco::Process::launch("/bin/sh", arguments));
+        running_.insert_or_assign(it.name,
+                                  Poco::Process::launch("/bin/sh", arguments));
     }
 
     Poco::ProcessHandle& handle(const std::string& name) {
@@ -246,13 +248,14 @@
         send(to, path, body.dump());
     }
 
-    static void send(const endpoint& to, const std::string& path,
-                     const std::string& body) {
+    static std::string send(const endpoint& to, const std::string& path,
+                            const std::string& body) {
         const http_answer it = http_request(to, "POST", path, body);
         if (it.status != 200)
             throw std::runtime_error("POST " + path + " at " + to_string(to) +
                                      " gave " + std::to_string(it.status) +
                                      " " + it.body);
+        return it.body;
     }
 
     const plan_options options_;
@@ -296,12 +299,14 @@
     impl_->set_entries(names);
 }
 
-void deployment::set_platform(const std::string& mode) {
-    impl_->set_platform(mode);
+void deployment::set_platform(const std::string& mode,
+                              const std::string& data_centre) {
+    impl_->set_platform(mode, data_centre);
 }
 
-void deployment::publish(const std::string& key, const std::string& record) {
-    impl_->publish(key, record);
+std::string deployment::publish(const std::string& key,
+                                const std::string& record) {
+    return impl_->publish(key, record);
 }
 
 void deployment::drain(const std::string& service, const std::string& host) {
