Accept both orders of addresses in answers at the fabric stand-in

arbutusd names the client as source in both directions, while the fabric expected the service as source of answers and counted each answer as malformed, so that no client got one. The service's address tells the two apart; answers of the first form are counted as client_as_source.

--- a/packages/testing/src/emulator/fabric.cpp
+++ b/packages/testing/src/emulator/fabric.cpp
@@ -15,6 +15,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace arbutusport::emulator {
 
@@ -30,6 +31,8 @@
     std::uint64_t lost = 0;
     std::uint64_t cut = 0;
     std::uint64_t duplicated = 0;
+    // Answers whose header is reversed: client to service.
+    std::uint64_t client_as_source = 0;
     std::uint64_t malformed = 0;
     std::uint64_t overflow = 0;
 };
@@ -78,6 +81,7 @@
                      {"lost", counters_.lost},
                      {"cut", counters_.cut},
                      {"duplicated", counters_.duplicated},
+                     {"client_as_source", counters_.client_as_source},
                      {"malformed", counters_.malformed},
                      {"overflow", counters_.overflow}}
                     .dump(),
@@ -124,7 +128,12 @@
             ++counters_.cut;
             return;
         }
-        const auto addresses = read_proxy_header(data);
+        auto addresses = read_proxy_header(data);
+        if (addresses && services_.contains(addresses->destination)) {
+            // arbutusd names the client as source in both directions.
+            ++counters_.client_as_source;
+            std::swap(addresses->source, addresses->destination);
+        }
         const auto service =
             addresses ? services_.find(addresses->source) : services_.end();
         if (service == services_.end()) {
