--- a/packages/testing/src/emulator/load_client.cpp
+++ b/packages/testing/src/emulator/load_client.cpp
@@ -240,6 +240,7 @@
             return;
         ++counters_.broken_flows;
         last_break_ = now;
+        host_.clear();
     }
 
     // Contributions and notifications come from the host of the session.
