--- a/packages/testing/src/emulator/bench_path.cpp
+++ b/packages/testing/src/emulator/bench_path.cpp
@@ -182,7 +182,7 @@
     const auto snapshot = make_snapshot(load.sink());
 
     daemon::packet_port port(bind_loopback());
-    port.set_keys(daemon::make_keyring(snapshot->keys));
+    port.set_keys(wire::make_keyring(snapshot->keys));
     routing::entry_router router(
         {.self = process_id_of("entry-1"), .packets = port.socket().local()});
     router.set_snapshot(snapshot);
