--- a/packages/core/src/requests/broker_jobs.cpp
+++ b/packages/core/src/requests/broker_jobs.cpp
@@ -93,7 +93,9 @@
     job& it = jobs_.at(id);
     response.erase(options::echo);
     if (session* of = sessions_.find(it.session); of && !it.of_peer())
-        if (!it.idempotent())
+        // A read that came without a binding is answered with one, so that
+        // the session can be found again under a new flow key.
+        if (!it.idempotent() || !it.request.find(options::echo))
             add_binding(*of, response, now);
     respond_to(it, response);
     if (it.key) {
--- a/packages/core/src/requests/broker_upstream.cpp
+++ b/packages/core/src/requests/broker_upstream.cpp
@@ -188,6 +188,11 @@
                                            time_point now) {
     const bool ends = response.code >> 5 != 2;
     if (!ends) {
+        response.erase(options::echo);
+        // A client that only observes needs a binding that has not expired
+        // to come back under a new flow key.
+        if (const session* of = sessions_.find(key.session))
+            add_binding(*of, response, now);
         observations_.notify(key, std::move(response), ++last_message_id_, now);
         return send_notification(key, false);
     }
