Add seeded fault schedules and the figures of the requests layer

Clients, upstreams and hosts in virtual time run the broker under lost, doubled and late datagrams, restarts, replacements, pauses, drains and two owners of one flow.

--- a/packages/core/include/arbutusport/requests/coap_message.hpp
+++ b/packages/core/include/arbutusport/requests/coap_message.hpp
@@ -119,6 +119,10 @@
 std::string payload_text(const coap_message& it);
 bytes to_bytes(std::string_view text);
 
+/// @brief An 8-byte token, big endian; empty if a token has another length.
+bytes make_token(std::uint64_t value);
+std::optional<std::uint64_t> read_token(byte_view token);
+
 /// @brief Value of a Block1 or Block2 option (RFC 7959).
 struct block_value {
     std::uint32_t number = 0;
--- a/packages/core/include/arbutusport/requests/upstream_exchanges.hpp
+++ b/packages/core/include/arbutusport/requests/upstream_exchanges.hpp
@@ -70,6 +70,4 @@
     std::vector<std::uint64_t> repeating_;
 };
 
-bytes token_bytes(std::uint64_t token);
-
 } // namespace arbutusport::requests
--- a/packages/core/src/requests/coap_message.cpp
+++ b/packages/core/src/requests/coap_message.cpp
@@ -4,6 +4,7 @@
 
 #include <arbutusport/requests/coap_message.hpp>
 
+#include <boost/endian/conversion.hpp>
 #include <coap3/coap.h>
 
 #include <algorithm>
@@ -181,6 +182,18 @@
     return {text.begin(), text.end()};
 }
 
+bytes make_token(std::uint64_t value) {
+    bytes out(sizeof value);
+    boost::endian::store_big_u64(out.data(), value);
+    return out;
+}
+
+std::optional<std::uint64_t> read_token(byte_view token) {
+    if (token.size() != sizeof(std::uint64_t))
+        return std::nullopt;
+    return boost::endian::load_big_u64(token.data());
+}
+
 std::optional<block_value> find_block(const coap_message& it,
                                       std::uint16_t number) {
     const auto n = it.find_uint(number);
--- a/packages/core/src/requests/upstream_exchanges.cpp
+++ b/packages/core/src/requests/upstream_exchanges.cpp
@@ -3,7 +3,6 @@
 
 #include <arbutusport/requests/upstream_exchanges.hpp>
 
-#include <boost/endian/conversion.hpp>
 #include <sodium.h>
 
 #include <algorithm>
@@ -12,12 +11,6 @@
 
 namespace arbutusport::requests {
 
-bytes token_bytes(std::uint64_t token) {
-    bytes out(sizeof token);
-    boost::endian::store_big_u64(out.data(), token);
-    return out;
-}
-
 upstream_exchanges::upstream_exchanges(const binding_key& key, incarnation run,
                                        bool match)
     : key_(key), run_(run), match_(match) {
@@ -48,7 +41,7 @@
     it.started = now;
     request.type = coap_type::confirmable;
     request.id = it.message_id;
-    request.token = token_bytes(it.token);
+    request.token = make_token(it.token);
     if (is_idempotent(request.code)) {
         it.datagram = serialise(request);
         it.repeat_at = now + it.repeat_after;
@@ -64,10 +57,8 @@
             exchanges_, {}, [](const auto& it) { return it.second.started; });
         return oldest == exchanges_.end() ? nullptr : &oldest->second;
     }
-    if (response.token.size() != sizeof(std::uint64_t))
-        return nullptr;
-    upstream_exchange* it =
-        find(boost::endian::load_big_u64(response.token.data()));
+    const auto token = read_token(response.token);
+    upstream_exchange* it = token ? find(*token) : nullptr;
     // A piggybacked answer also names the message that it acknowledges.
     if (it && response.type == coap_type::acknowledgement &&
         response.id != it->message_id)
--- /dev/null
+++ b/packages/testing/include/arbutusport/emulator/request_world.hpp
@@ -0,0 +1,26 @@
+// Seeded fault schedules in virtual time: clients, a lossy network, and hosts
+// with broker and upstream.
+#pragma once
+
+#include <arbutusport/emulator/history.hpp>
+#include <arbutusport/requests/request_broker.hpp>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace arbutusport::emulator {
+
+struct schedule_options {
+    std::uint64_t seed = 1;
+    std::size_t clients = 4;
+    std::size_t requests_per_client = 10;
+    requests::guards enabled;
+};
+
+/// @brief Runs one schedule: within a minute, requests meet lost, doubled and
+/// late datagrams (by up to 10 minutes), restarts, replacements, pauses,
+/// drains, two owners of one flow, and an upstream that sheds, is late or
+/// silent; then the world rests until every late datagram has come.
+history run_schedule(const schedule_options& options);
+
+} // namespace arbutusport::emulator
