--- a/packages/core/src/config/config_sync_test.cpp
+++ b/packages/core/src/config/config_sync_test.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(reads_only_what_changed);
     CPPUNIT_TEST(a_newer_record_makes_it_read_the_head_again);
     CPPUNIT_TEST(an_older_record_is_not_adopted);
+    CPPUNIT_TEST(a_refused_generation_is_not_asked_for_again);
     CPPUNIT_TEST(decoder_refuses_malformed_messages);
     CPPUNIT_TEST(hostile_messages_change_nothing);
     CPPUNIT_TEST_SUITE_END();
@@ -104,6 +105,25 @@
                              count<watch_head>(it->on_tick(now)));
     }
 
+    // A peer of another version may hold a set that this one refuses.
+    void a_refused_generation_is_not_asked_for_again() {
+        time_point now{};
+        const auto it = make_started(now);
+        auto set = make_set(2);
+        set[1].json = "{}";
+        const auto digest = records::digest_of(set);
+        const bytes message = encode_sync(
+            {{1, 2}, digest, false, {{{}, {1, 2}, digest, set, {}}}, {}});
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{1},
+            count<refused>(it->on_request(message, now).actions));
+        const auto again = it->on_request(message, now);
+        CPPUNIT_ASSERT(again.actions.empty());
+        CPPUNIT_ASSERT(!decode_sync(again.reply).value().wants);
+        CPPUNIT_ASSERT(it->on_reply({1, 1}, message, now).empty());
+        CPPUNIT_ASSERT((it->current()->gen == generation{1, 1}));
+    }
+
     void decoder_refuses_malformed_messages() {
         const auto accepts = [](byte_view data) {
             return handle_failure(
--- a/packages/core/src/membership/membership_test.cpp
+++ b/packages/core/src/membership/membership_test.cpp
@@ -136,6 +136,7 @@
     CPPUNIT_TEST(a_dead_member_is_down_within_5_s);
     CPPUNIT_TEST(a_false_suspicion_is_refuted);
     CPPUNIT_TEST(a_paused_member_returns_in_its_incarnation);
+    CPPUNIT_TEST(a_pause_is_no_evidence_against_peers);
     CPPUNIT_TEST(a_restarted_member_replaces_the_old);
     CPPUNIT_TEST(the_list_marks_leaving_but_never_alive);
     CPPUNIT_TEST(the_configuration_marks_leaving_and_back);
@@ -191,6 +192,23 @@
                              it.views(4, member_state::alive));
     }
 
+    // A probe that was under way at the pause has no answer after it.
+    void a_pause_is_no_evidence_against_peers() {
+        for (std::uint64_t seed = 0; seed < 20; ++seed) {
+            fleet it(seed);
+            it.advance(3s);
+            it.lose(100);
+            it.advance(400ms);
+            it.stop(4);
+            it.lose(0);
+            it.advance(60s);
+            it.resume(4);
+            it.advance(tick);
+            for (std::size_t i = 0; i < member_count; ++i)
+                CPPUNIT_ASSERT(it[4].state(id_of(i)) == member_state::alive);
+        }
+    }
+
     void a_restarted_member_replaces_the_old() {
         fleet it(3);
         it.advance(3s);
--- a/packages/testing/src/emulator/config_fleet_test.cpp
+++ b/packages/testing/src/emulator/config_fleet_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST_SUITE(config_fleet_test);
     CPPUNIT_TEST(a_change_reaches_every_process);
     CPPUNIT_TEST(a_restart_beside_a_stale_platform_does_not_go_back);
+    CPPUNIT_TEST(a_restart_among_uneven_peers_takes_the_newest);
     CPPUNIT_TEST(a_malformed_generation_is_read_once);
     CPPUNIT_TEST(a_lone_process_reads_directly);
     CPPUNIT_TEST(random_faults_never_revert_and_converge);
@@ -109,6 +110,30 @@
         }
     }
 
+    // At the moment a partition heals, one data centre alone knows a newer
+    // generation; a process that starts then may hear of the older one first.
+    void a_restart_among_uneven_peers_takes_the_newest() {
+        for (std::uint64_t seed = 0; seed < 20; ++seed) {
+            config_fleet it({.seed = seed});
+            it.advance(10s);
+            std::set<std::size_t> side;
+            for (std::size_t i = 0; i < it.size(); ++i)
+                if (it.data_centre(i) == "dc-2")
+                    side.insert(i);
+            it.set_platform_stale("dc-0", true);
+            it.set_platform_stale("dc-1", true);
+            it.partition(side);
+            it.publish(0);
+            it.advance(5s);
+            CPPUNIT_ASSERT_EQUAL(side.size(), it.count_in_force(it.head()));
+            it.partition({});
+            it.restart(0); // in dc-0
+            it.advance(20s);
+            CPPUNIT_ASSERT_EQUAL(std::string(), first_of(it.violations()));
+            CPPUNIT_ASSERT_EQUAL(it.size(), it.count_in_force(it.head()));
+        }
+    }
+
     void a_malformed_generation_is_read_once() {
         config_fleet it({});
         it.advance(10s);
