--- a/packages/core/src/config/config_sync_test.cpp
+++ b/packages/core/src/config/config_sync_test.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(a_newer_record_makes_it_read_the_head_again);
     CPPUNIT_TEST(an_older_record_is_not_adopted);
     CPPUNIT_TEST(a_refused_generation_is_not_asked_for_again);
+    CPPUNIT_TEST(a_late_message_does_not_revert);
     CPPUNIT_TEST(decoder_refuses_malformed_messages);
     CPPUNIT_TEST(hostile_messages_change_nothing);
     CPPUNIT_TEST_SUITE_END();
@@ -124,6 +125,23 @@
         CPPUNIT_ASSERT((it->current()->gen == generation{1, 1}));
     }
 
+    void a_late_message_does_not_revert() {
+        time_point now{};
+        const auto it = make_started(now);
+        const auto send = [&](std::uint64_t revision) {
+            const auto set =
+                records::build_snapshot({1, revision}, make_set(revision))
+                    .value();
+            const auto delta = records::make_full(*set);
+            it->on_request(
+                encode_sync({set->gen, delta.digest, true, delta, {}}), now);
+        };
+        send(3);
+        CPPUNIT_ASSERT((it->current()->gen == generation{1, 3}));
+        send(2);
+        CPPUNIT_ASSERT((it->current()->gen == generation{1, 3}));
+    }
+
     void decoder_refuses_malformed_messages() {
         const auto accepts = [](byte_view data) {
             return handle_failure(
