Serve after the start-up window although some peers are dead

A fresh process asked 16 more peers each second until it served, and waited for the time-out of each. With a third of 312 processes dead, one of them was always outstanding, so it never served. It now asks no further peers after the window if it has a set.

--- a/packages/core/src/config/config_sync.cpp
+++ b/packages/core/src/config/config_sync.cpp
@@ -31,7 +31,6 @@
     if (std::exchange(is_started_, true))
         return;
     window_end_ = now + options_.startup_window;
-    last_heard_ = now;
     next_direct_read_ = now + options_.direct_read_after +
                         jitter(options_.direct_read_after / 2);
     backoff_ = options_.round_interval;
@@ -61,10 +60,13 @@
     if (now >= next_round_) {
         next_round_ = now + options_.round_interval;
         // Without any set by the end of the window, the same peers are asked
-        // until one of them or the platform answers.
+        // until one of them or the platform answers. With one, no further
+        // peers are asked: in a large fleet some of them are always dead, and
+        // their time-outs would put off the end for ever.
         if (!candidate_ && now >= window_end_)
             asked_.clear();
-        ask_everyone(now, out);
+        if (!candidate_ || now < window_end_)
+            ask_everyone(now, out);
     }
     try_to_serve(now, out);
 }
--- a/packages/core/src/config/config_sync_impl.hpp
+++ b/packages/core/src/config/config_sync_impl.hpp
@@ -131,7 +131,6 @@
     // before that time.
     generation expected_;
     time_point expected_until_;
-    time_point last_heard_;
 
     read_state reading_ = read_state::idle;
     time_point read_since_;
--- a/packages/core/src/config/gossip.cpp
+++ b/packages/core/src/config/gossip.cpp
@@ -82,7 +82,6 @@
 void config_sync::impl::learn(const sync_message& it, time_point now,
                               sync_actions& out) {
     start(now);
-    last_heard_ = now;
     next_direct_read_ = now + options_.direct_read_after +
                         jitter(options_.direct_read_after / 2);
     if (options_.on_events && !it.events.empty())
--- a/packages/testing/include/arbutusport/emulator/config_fleet.hpp
+++ b/packages/testing/include/arbutusport/emulator/config_fleet.hpp
@@ -118,7 +118,7 @@
         // Of this run.
         std::vector<change> changes;
         std::uint64_t refusals = 0;
-        // The generation after which a watch waits, and its run and number.
+        // The generation after which a watch waits, and its number.
         std::optional<generation> watch;
         std::uint64_t read_number = 0;
     };
--- a/packages/testing/src/emulator/bench_config.cpp
+++ b/packages/testing/src/emulator/bench_config.cpp
@@ -1,13 +1,12 @@
 // Figures of the config layer: time until a change is in force, control
 // traffic, calls at the platform, and the cost of a set of records by size.
 
-#include <arbutusport/emulator/bench.hpp>
+#include "bench_config_sizes.hpp"
+
 #include <arbutusport/emulator/config_fleet.hpp>
 #include <arbutusport/membership/membership.hpp>
 #include <arbutusport/records/parse.hpp>
 
-#include <malloc.h>
-
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -41,11 +40,11 @@
 duration wait_for_all(config_fleet& it, time_point since, duration limit) {
     while (it.count_in_force(it.head()) < it.size() && it.now() - since < limit)
         it.advance(50ms);
+    if (it.count_in_force(it.head()) < it.size())
+        return limit;
     duration longest{};
     for (std::size_t i = 0; i < it.size(); ++i)
-        longest = std::max(longest, it.count_in_force(it.head()) == it.size()
-                                        ? it.in_force_since(i) - since
-                                        : limit);
+        longest = std::max(longest, it.in_force_since(i) - since);
     return longest;
 }
 
@@ -114,7 +113,8 @@
         }
         sum += seconds(last - first);
     }
-    return sum / changes; // one round a second
+    // A round takes one second.
+    return sum / changes;
 }
 
 void bench_spread(std::uint64_t seed, const figure_sink& sink) {
@@ -251,8 +251,6 @@
 
 } // namespace
 
-void bench_config_sizes(std::uint64_t seed, const figure_sink& sink);
-
 void bench_config(std::uint64_t seed, const figure_sink& sink) {
     bench_in_force(seed, sink);
     bench_spread(seed, sink);
--- a/packages/testing/src/emulator/bench_config_sizes.cpp
+++ b/packages/testing/src/emulator/bench_config_sizes.cpp
@@ -1,7 +1,8 @@
 // Figures of the config layer by the size of the set: bytes, memory and
 // processor time.
 
-#include <arbutusport/emulator/bench.hpp>
+#include "bench_config_sizes.hpp"
+
 #include <arbutusport/emulator/config_fleet.hpp>
 #include <arbutusport/membership/membership.hpp>
 #include <arbutusport/records/delta.hpp>
@@ -62,8 +63,7 @@
     constexpr int rounds = 500;
     const endpoint peer{1, 1};
     time_point now(1000s);
-    // Reads of readers are answered neither here nor there, so that only
-    // gossip is counted.
+    // Reads at the platform stay unanswered, so that only gossip is counted.
     const auto start = clock::now();
     for (int n = 0; n < rounds; ++n, now += 1s)
         for (const auto& action : left.on_tick(now))
@@ -74,7 +74,7 @@
     return microseconds_since(start) / rounds;
 }
 
-// From a request to the adoption of one changed record.
+// Encoding, decoding, applying and building for one changed record.
 double time_adoption(config::config_sync& it,
                      const records::snapshot_ptr& next) {
     const auto delta = records::make_delta(*it.current(), *next);
@@ -129,8 +129,6 @@
 
 } // namespace
 
-void bench_config_sizes(std::uint64_t seed, const figure_sink& sink);
-
 void bench_config_sizes(std::uint64_t seed, const figure_sink& sink) {
     constexpr std::array<record_sizes, 3> sizes{
         {{36, 500, 46, 8}, {90, 1250, 115, 8}, {360, 5000, 460, 8}}};
--- /dev/null
+++ b/packages/testing/src/emulator/bench_config_sizes.hpp
@@ -0,0 +1,10 @@
+// The part of the config figures that depends on the size of the set.
+#pragma once
+
+#include <arbutusport/emulator/bench.hpp>
+
+namespace arbutusport::emulator {
+
+void bench_config_sizes(std::uint64_t seed, const figure_sink& sink);
+
+} // namespace arbutusport::emulator
--- a/packages/testing/src/emulator/config_fleet_test.cpp
+++ b/packages/testing/src/emulator/config_fleet_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(a_change_reaches_every_process);
     CPPUNIT_TEST(a_restart_beside_a_stale_platform_does_not_go_back);
     CPPUNIT_TEST(a_restart_among_uneven_peers_takes_the_newest);
+    CPPUNIT_TEST(a_restart_beside_a_dead_data_centre_serves_soon);
     CPPUNIT_TEST(a_malformed_generation_is_read_once);
     CPPUNIT_TEST(a_lone_process_reads_directly);
     CPPUNIT_TEST(random_faults_never_revert_and_converge);
@@ -134,6 +135,18 @@
         }
     }
 
+    // Time-outs of dead peers must not put off the end of the window for ever.
+    void a_restart_beside_a_dead_data_centre_serves_soon() {
+        config_fleet it({.sizes = {10, 300, 12, 3}});
+        it.advance(15s);
+        for (std::size_t i = 0; i < it.size(); ++i)
+            if (it.data_centre(i) == "dc-2")
+                it.stop(i);
+        it.restart(0);
+        it.advance(8s);
+        CPPUNIT_ASSERT(it.in_force(0) == it.head());
+    }
+
     void a_malformed_generation_is_read_once() {
         config_fleet it({});
         it.advance(10s);
