--- a/packages/core/src/membership/event_queue.cpp
+++ b/packages/core/src/membership/event_queue.cpp
@@ -32,7 +32,7 @@
     for (item* it : waiting) {
         out.push_back(it->event);
         if (++it->sent >= rounds)
-            items_.erase(process_id(out.back().id));
+            items_.erase(out.back().id);
     }
     return out;
 }
--- a/packages/core/src/membership/member_table_impl.hpp
+++ b/packages/core/src/membership/member_table_impl.hpp
@@ -55,7 +55,8 @@
     struct pending_probe {
         process_id target;
         time_point sent;
-        bool indirect = false;
+        /// When others were asked to probe the target.
+        std::optional<time_point> asked;
     };
     struct relay {
         process_id origin;
--- a/packages/core/src/membership/probing.cpp
+++ b/packages/core/src/membership/probing.cpp
@@ -69,9 +69,9 @@
     for (auto it = pending_.begin(); it != pending_.end();) {
         auto& [sequence, probe] = *it;
         member* target = roster_.find(probe.target);
-        const auto waited = now - probe.sent;
-        if (target && !probe.indirect && waited >= settings_.probe_timeout) {
-            probe.indirect = true;
+        const bool late = now - probe.sent >= settings_.probe_timeout;
+        if (target && !probe.asked && late) {
+            probe.asked = now;
             target->unanswered_here = true;
             if (!target->unanswered_since)
                 target->unanswered_since = now;
@@ -81,7 +81,9 @@
             if (member* next = roster_.successor())
                 this->probe(*next, now, out);
         }
-        if (waited < 2 * settings_.probe_timeout) {
+        // Counted from the time of asking, so that a late tick leaves the
+        // others the time to answer.
+        if (!probe.asked || now - *probe.asked < settings_.probe_timeout) {
             ++it;
             continue;
         }
@@ -144,7 +146,7 @@
 
 void member_table::impl::probe(member& it, time_point now, actions& out) {
     const std::uint64_t sequence = ++last_sequence_;
-    pending_[sequence] = {it.event.id, now, false};
+    pending_[sequence] = {it.event.id, now, std::nullopt};
     out.push_back({probe_kind::probe, it.event.id, it.packets,
                    make_body(sequence, it.event.id, std::nullopt)});
 }
