--- a/packages/core/src/membership/membership_test.cpp
+++ b/packages/core/src/membership/membership_test.cpp
@@ -59,8 +59,13 @@
 
     void start(std::size_t i) {
         runs_[i] = incarnation(runs_[i].value() + 1);
-        tables_[i] = std::make_unique<member_table>(
-            options{.self = id_of(i), .run = runs_[i], .seed = random_()});
+        tables_[i] = std::make_unique<member_table>(options{
+            .self = id_of(i),
+            .run = runs_[i],
+            .seed = random_(),
+            .on_change = [this, i](const member_event& event) {
+                accusations_[i] += event.state == member_state::suspect ? 1 : 0;
+            }});
         tables_[i]->set_snapshot(make_fleet(), now_);
         stopped_.erase(i);
         inbox_[i].clear();
@@ -72,6 +77,8 @@
     member_table& operator[](std::size_t i) { return *tables_[i]; }
     incarnation run(std::size_t i) const { return runs_.at(i); }
     time_point now() const { return now_; }
+    // Suspicions that the process has held, its own or heard.
+    std::size_t accusations(std::size_t i) { return accusations_[i]; }
 
     void advance(duration time) {
         for (const auto end = now_ + time; now_ < end; now_ += tick) {
@@ -124,6 +131,7 @@
     std::map<std::size_t, std::unique_ptr<member_table>> tables_;
     std::map<std::size_t, incarnation> runs_;
     std::map<std::size_t, std::deque<message>> inbox_;
+    std::map<std::size_t, std::size_t> accusations_;
     std::set<std::size_t> stopped_;
     std::set<std::size_t> side_;
     int loss_ = 0;
@@ -136,6 +144,7 @@
     CPPUNIT_TEST(a_dead_member_is_down_within_5_s);
     CPPUNIT_TEST(a_false_suspicion_is_refuted);
     CPPUNIT_TEST(a_paused_member_returns_in_its_incarnation);
+    CPPUNIT_TEST(a_pause_is_no_evidence_against_peers);
     CPPUNIT_TEST(a_restarted_member_replaces_the_old);
     CPPUNIT_TEST(the_list_marks_leaving_but_never_alive);
     CPPUNIT_TEST(the_configuration_marks_leaving_and_back);
@@ -191,6 +200,23 @@
                              it.views(4, member_state::alive));
     }
 
+    // A probe that was under way at the pause has no answer after it.
+    void a_pause_is_no_evidence_against_peers() {
+        for (std::uint64_t seed = 0; seed < 20; ++seed) {
+            fleet it(seed);
+            it.advance(3s);
+            it.lose(100);
+            it.advance(400ms);
+            it.stop(4);
+            it.lose(0);
+            it.advance(60s);
+            const std::size_t before = it.accusations(4);
+            it.resume(4);
+            it.advance(tick);
+            CPPUNIT_ASSERT_EQUAL(before, it.accusations(4));
+        }
+    }
+
     void a_restarted_member_replaces_the_old() {
         fleet it(3);
         it.advance(3s);
