--- a/packages/testing/src/emulator/bench_routing.cpp
+++ b/packages/testing/src/emulator/bench_routing.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <vector>
 
 namespace arbutusport::emulator {
 
@@ -110,18 +111,29 @@
     const auto added = world.add_host(session_service);
     network.add_host(added, service_id_of(session_service));
     network.publish(world.next(), seconds(3));
-    for (int round = 0; round < 4; ++round)
+    for (int round = 0; round < 3; ++round)
         send_all(network, world, 0, flow_total);
+    std::vector<std::uint64_t> answers_before;
+    for (std::uint32_t i = 0; i < flow_total; ++i)
+        answers_before.push_back(network.answers(flow_at(world, i)));
+    send_all(network, world, 0, flow_total);
     const auto& seen = network.counts();
+    std::uint64_t unanswered = 0;
+    for (std::uint32_t i = 0; i < flow_total; ++i)
+        unanswered +=
+            network.answers(flow_at(world, i)) == answers_before[i] ? 1 : 0;
 
     // What entries without passing on would do: the drained host is left
     // out and the new one is in.
     flow_world after = world;
     after.remove_host(drained);
-    const std::string notes =
+    std::string notes =
         "flows=14000 entries=3 hosts=7+3 change=entry_killed,host_drained,"
         "host_added packets_after_change=" +
-        std::to_string(seen.delivered - opened.delivered);
+        std::to_string(seen.delivered - opened.delivered) +
+        " unanswered_in_last_round=" + std::to_string(unanswered);
+    for (const auto& [reason, n] : seen.drops)
+        notes += " dropped_" + reason + "=" + std::to_string(n);
     const auto broken = static_cast<double>(seen.broken_flows);
     sink({"broken_flows", broken, "flows",
           static_cast<double>(broken_by(by_modulo, before, after)), "modulo",
