--- a/packages/core/include/arbutusport/routing/slot_table.hpp
+++ b/packages/core/include/arbutusport/routing/slot_table.hpp
@@ -28,7 +28,9 @@
 class slot_table {
 public:
     slot_table() = default;
-    /// @brief Ranks every host of `it` that is not `out`.
+    /// @brief Ranks every host of `it` that is not `out`. Two ranks of each
+    /// slot are active hosts if the service has as many. A slot whose ranked
+    /// hosts are all dead is not served until they are published as out.
     explicit slot_table(const records::service& it);
 
     /// @brief Host indexes by rank into the service's `hosts`; shorter than
--- a/packages/core/src/flows/flow_claims.cpp
+++ b/packages/core/src/flows/flow_claims.cpp
@@ -51,7 +51,6 @@
     claim it;
     it.id = ++last_claim_;
     it.score = routing::score(slot, options_.self, weight_);
-    it.gen = first.gen;
     it.ranked = live(first.candidates);
     if (options_.enabled.query_owners) {
         auto peers = cover_.cover(slot);
@@ -176,7 +175,7 @@
     }
     case wire::ownership::redirects:
         peer->answer = *body;
-        if (follow_reference(it, body->owner, now))
+        if (follow_reference(it, body->owner))
             return;
         break;
     case wire::ownership::none:
@@ -191,8 +190,7 @@
 // Asks the host that a peer takes for the owner. False if it is already
 // among those asked.
 bool flow_owner::impl::follow_reference(claim_iterator it,
-                                        const wire::candidate& owner,
-                                        time_point) {
+                                        const wire::candidate& owner) {
     auto& asked = it->second.asked;
     const bool known = owner.id == options_.self || is_down(owner.id) ||
                        std::ranges::any_of(asked, [&](const auto& entry) {
--- a/packages/core/src/flows/flow_owner_impl.hpp
+++ b/packages/core/src/flows/flow_owner_impl.hpp
@@ -78,8 +78,8 @@
     struct claim {
         std::uint64_t id = 0;
         double score = 0;
-        generation gen;
-        // Ranked hosts at `gen`, without those believed down.
+        // Ranked hosts at the newer generation of this host and the first
+        // packet, without those believed down.
         wire::candidate_list ranked;
         std::vector<asked_peer> asked;
         // Index into `asked` while the flow is being placed there.
@@ -106,7 +106,7 @@
     void on_data(wire::packet message, time_point now);
     void refresh_candidates(wire::packet& message) const;
     wire::candidate_list live(const wire::candidate_list& all) const;
-    bool follow_redirect(wire::packet& message, time_point now);
+    bool follow_redirect(wire::packet& message);
     void deliver_owned(flow_state& state, wire::packet message, time_point now);
     void forward(wire::packet message, const wire::candidate& to);
     void open(const flow_key& flow, const endpoint& entry, time_point now);
@@ -117,7 +117,7 @@
               const wire::candidate& to, bytes body);
     void send_holders(const wire::candidate& to, bool is_reply,
                       generation taken);
-    void on_holders(const wire::packet& message, time_point now);
+    void on_holders(const wire::packet& message);
     bool is_down(process_id id) const;
     flow_actions take() { return std::exchange(out_, {}); }
 
@@ -130,8 +130,7 @@
     void on_place(const wire::packet& message, time_point now);
     void on_placed(claim_iterator it, const wire::query_reply_body& body,
                    time_point now);
-    bool follow_reference(claim_iterator it, const wire::candidate& owner,
-                          time_point now);
+    bool follow_reference(claim_iterator it, const wire::candidate& owner);
     void on_claim_timeout(claim_iterator it, time_point now);
     void conclude_if_answered(claim_iterator it, time_point now);
     void place(claim_iterator it, time_point now);
--- a/packages/core/src/flows/flow_owner_test.cpp
+++ b/packages/core/src/flows/flow_owner_test.cpp
@@ -18,6 +18,7 @@
 using wire::message_type;
 
 const endpoint address{0x0b000001, 5683};
+const endpoint other_address{0x0b000002, 5683};
 const endpoint entry{0x0a000063, 7000};
 const service_id service = service_id_of("participa");
 
@@ -38,6 +39,8 @@
                                              ? records::host_state::draining
                                              : records::host_state::active});
     it->services.push_back(record);
+    it->services.push_back(
+        {.id = service_id_of("acervo"), .address = other_address});
     it->entries.push_back({.id = process_id(99), .packets = entry});
     it->entries.push_back({.id = process_id(98), .packets = {7, 7}});
     return it;
@@ -162,6 +165,10 @@
         host it(3);
         auto packet = forward_of(it.flow);
         packet.service = service_id_of("acervo");
+        CPPUNIT_ASSERT(
+            has_drop(it.receive(packet), drop_reason::wrong_service));
+        // The address moved to another service since the sender's generation.
+        packet = forward_of({it.flow.client, other_address});
         CPPUNIT_ASSERT(
             has_drop(it.receive(packet), drop_reason::wrong_service));
         packet = forward_of(it.flow);
--- a/packages/core/src/flows/flow_path.cpp
+++ b/packages/core/src/flows/flow_path.cpp
@@ -68,7 +68,7 @@
         on_place(message, now);
         break;
     case wire::message_type::holders:
-        on_holders(message, now);
+        on_holders(message);
         break;
     default:
         drop(drop_reason::unexpected_type, message.sender);
@@ -111,7 +111,7 @@
     }
     if (claims_.contains(message.flow))
         return hold(std::move(message), now);
-    if (follow_redirect(message, now))
+    if (follow_redirect(message))
         return;
     refresh_candidates(message);
     const auto ranked = live(message.candidates);
@@ -140,7 +140,7 @@
 
 // Drops a redirect that leads nowhere: to a host that is down, back to the
 // host that passed the packet on, or round in a loop.
-bool flow_owner::impl::follow_redirect(wire::packet& message, time_point) {
+bool flow_owner::impl::follow_redirect(wire::packet& message) {
     const redirect* found = redirects_.find(message.flow);
     if (found == nullptr)
         return false;
@@ -241,7 +241,7 @@
         candidates.push_back(it);
 }
 
-void flow_owner::impl::on_holders(const wire::packet& message, time_point) {
+void flow_owner::impl::on_holders(const wire::packet& message) {
     const auto body = handle_failure(
         [&]() -> result<std::optional<wire::holders_body>> {
             BOOST_LEAF_AUTO(it, wire::decode_holders(message.body));
