--- a/packages/arbutusd/include/arbutusport/daemon/packet_port.hpp
+++ b/packages/arbutusd/include/arbutusport/daemon/packet_port.hpp
@@ -33,11 +33,12 @@
     keyring_ptr keys_ = std::make_shared<const wire::keyring>();
 };
 
-/// @brief Verifies a datagram and hands the packet on; a refused one yields a
-/// `dropped` output with the decoder's reason.
+/// @brief Verifies a datagram and hands the packet on, or else the decoder's
+/// reason.
 node::outputs
 receive_packet(byte_view datagram, const wire::keyring& keys,
-               const std::function<node::outputs(wire::packet)>& handle);
+               const std::function<node::outputs(wire::packet)>& handle,
+               const std::function<void(const std::string& reason)>& refuse);
 
 /// @brief Collects packets and sends them in batches; one for each thread.
 class packet_sender {
--- a/packages/arbutusd/src/daemon/entry_path.cpp
+++ b/packages/arbutusd/src/daemon/entry_path.cpp
@@ -60,10 +60,13 @@
     const keyring_ptr keys = port_.keys();
     for (std::size_t i = 0; i < n; ++i) {
         const endpoint from = in_.from(i);
-        for (const node::output& it :
-             receive_packet(in_.data(i), *keys, [&](wire::packet message) {
-                 return decide_(std::move(message), from, now);
-             })) {
+        const auto outputs = receive_packet(
+            in_.data(i), *keys,
+            [&](wire::packet message) {
+                return decide_(std::move(message), from, now);
+            },
+            [&](const std::string& reason) { drop_(reason, to_string(from)); });
+        for (const node::output& it : outputs) {
             if (const auto* answer = std::get_if<node::send_to_client>(&it))
                 send_answer(*answer);
             else if (const auto* drop = std::get_if<node::dropped>(&it))
@@ -78,7 +81,7 @@
     if (out_.full())
         flush();
     bytes& buf = out_.add(fabric_address_);
-    adapters::append_proxy_header(it.flow, buf);
+    adapters::append_proxy_header(it.flow.service, it.flow.client, buf);
     buf.insert(buf.end(), it.datagram.begin(), it.datagram.end());
 }
 
--- a/packages/arbutusd/src/daemon/host_role.cpp
+++ b/packages/arbutusd/src/daemon/host_role.cpp
@@ -71,6 +71,8 @@
 private:
     role_hooks hooks();
     void read_packets();
+    node::outputs on_packet(wire::packet message, const endpoint& from,
+                            time_point now);
     void read_upstream();
     void on_output(node::output& it, time_point now);
     void on_answer(const wire::packet& it, time_point now);
@@ -143,22 +145,31 @@
     const auto now = adapters::now();
     const keyring_ptr keys = core_.port().keys();
     node::outputs out;
-    for (std::size_t i = 0; i < n; ++i)
-        append(receive_packet(in_.data(i), *keys,
-                              [&](wire::packet message) {
-                                  if (carries_request(message)) {
-                                      ++carried_;
-                                      meter_.on_request(message.flow,
-                                                        message.body, now);
-                                  }
-                                  return node_.on_packet(std::move(message),
-                                                         in_.from(i), now);
-                              }),
+    for (std::size_t i = 0; i < n; ++i) {
+        const endpoint from = in_.from(i);
+        append(receive_packet(
+                   in_.data(i), *keys,
+                   [&](wire::packet message) {
+                       return on_packet(std::move(message), from, now);
+                   },
+                   [&](const std::string& reason) {
+                       core_.count_drop(reason, to_string(from));
+                   }),
                out);
+    }
     from_processes_ += n;
     core_.carry_out(std::move(out), now);
 }
 
+node::outputs host_role::on_packet(wire::packet message, const endpoint& from,
+                                   time_point now) {
+    if (carries_request(message)) {
+        ++carried_;
+        meter_.on_request(message.flow, message.body, now);
+    }
+    return node_.on_packet(std::move(message), from, now);
+}
+
 void host_role::read_upstream() {
     const auto n = upstream_.receive(in_, duration::zero());
     const auto now = adapters::now();
--- a/packages/arbutusd/src/daemon/packet_port.cpp
+++ b/packages/arbutusd/src/daemon/packet_port.cpp
@@ -21,14 +21,16 @@
 
 node::outputs
 receive_packet(byte_view datagram, const wire::keyring& keys,
-               const std::function<node::outputs(wire::packet)>& handle) {
+               const std::function<node::outputs(wire::packet)>& handle,
+               const std::function<void(const std::string& reason)>& refuse) {
     return handle_failure(
         [&]() -> result<node::outputs> {
             BOOST_LEAF_AUTO(message, wire::decode_packet(datagram, keys));
             return handle(std::move(message));
         },
-        [](const failure& it) {
-            return node::outputs{node::dropped{it.reason, process_id()}};
+        [&](const failure& it) {
+            refuse(it.reason);
+            return node::outputs{};
         });
 }
 
--- a/packages/runtime/include/arbutusport/adapters/proxy_header.hpp
+++ b/packages/runtime/include/arbutusport/adapters/proxy_header.hpp
@@ -14,7 +14,8 @@
 /// Signature, version and command, family, length, addresses and ports.
 inline constexpr std::size_t proxy_header_size = 28;
 
-/// @brief A datagram without its header. `payload` is a part of the input.
+/// @brief A client's datagram without its header: the client is the source,
+/// the service the destination. `payload` is a part of the input.
 struct proxied_datagram {
     flow_key flow;
     byte_view payload;
@@ -24,7 +25,9 @@
 /// ports are set.
 std::optional<proxied_datagram> decode_proxied(byte_view data);
 
-/// @brief Appends the header; the client is the source in both directions.
-void append_proxy_header(const flow_key& flow, bytes& out);
+/// @brief Appends the header of a datagram from `source` to `destination`; in
+/// an answer the service is the source.
+void append_proxy_header(const endpoint& source, const endpoint& destination,
+                         bytes& out);
 
 } // namespace arbutusport::adapters
--- a/packages/runtime/src/adapters/proxy_header.cpp
+++ b/packages/runtime/src/adapters/proxy_header.cpp
@@ -53,16 +53,17 @@
     return proxied_datagram{flow, data.subspan(proxy_header_size)};
 }
 
-void append_proxy_header(const flow_key& flow, bytes& out) {
+void append_proxy_header(const endpoint& source, const endpoint& destination,
+                         bytes& out) {
     wire_proxy_header header;
     header.signature = signature;
     header.version_command = version_2_proxy;
     header.family = ipv4_dgram;
     header.length = address_bytes;
-    header.source = flow.client.address;
-    header.destination = flow.service.address;
-    header.source_port = flow.client.port;
-    header.destination_port = flow.service.port;
+    header.source = source.address;
+    header.destination = destination.address;
+    header.source_port = source.port;
+    header.destination_port = destination.port;
     const auto start = out.size();
     out.resize(start + sizeof header);
     std::memcpy(out.data() + start, &header, sizeof header);
--- a/packages/runtime/src/adapters/proxy_header_test.cpp
+++ b/packages/runtime/src/adapters/proxy_header_test.cpp
@@ -15,7 +15,7 @@
 
 bytes sample_datagram() {
     bytes out;
-    append_proxy_header(sample, out);
+    append_proxy_header(sample.client, sample.service, out);
     out.push_back(0x42);
     return out;
 }
@@ -54,7 +54,7 @@
                 CPPUNIT_ASSERT(!decode_proxied(data));
             }
         bytes data;
-        append_proxy_header({{1, 0}, {2, 5683}}, data);
+        append_proxy_header({1, 0}, {2, 5683}, data);
         CPPUNIT_ASSERT(!decode_proxied(data));
     }
 
--- a/packages/testing/src/emulator/bench_path.cpp
+++ b/packages/testing/src/emulator/bench_path.cpp
@@ -99,7 +99,8 @@
     void offer() {
         while (!out_.full()) {
             bytes& buf = out_.add(entry_);
-            adapters::append_proxy_header(flow_of(random_() % flow_count), buf);
+            const flow_key flow = flow_of(random_() % flow_count);
+            adapters::append_proxy_header(flow.client, flow.service, buf);
             buf.resize(buf.size() + payload_bytes, 0x2a);
         }
         source_.send(out_);
@@ -182,7 +183,7 @@
     const auto snapshot = make_snapshot(load.sink());
 
     daemon::packet_port port(bind_loopback());
-    port.set_keys(daemon::make_keyring(snapshot->keys));
+    port.set_keys(wire::make_keyring(snapshot->keys));
     routing::entry_router router(
         {.self = process_id_of("entry-1"), .packets = port.socket().local()});
     router.set_snapshot(snapshot);
