--- a/packages/testing/src/emulator/bench_path.cpp
+++ b/packages/testing/src/emulator/bench_path.cpp
@@ -99,7 +99,8 @@
     void offer() {
         while (!out_.full()) {
             bytes& buf = out_.add(entry_);
-            adapters::append_proxy_header(flow_of(random_() % flow_count), buf);
+            const flow_key flow = flow_of(random_() % flow_count);
+            adapters::append_proxy_header(flow.client, flow.service, buf);
             buf.resize(buf.size() + payload_bytes, 0x2a);
         }
         source_.send(out_);
