--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -83,8 +83,10 @@
 pids[client]=$load
 sleep 2
 echo "killing entry-1"
-kill -KILL "${pids[entry-1]}"
-wait "${pids[entry-1]}" 2>/dev/null || true
+{
+  kill -KILL "${pids[entry-1]}"
+  wait "${pids[entry-1]}" || true
+} 2>/dev/null
 unset "pids[entry-1]"
 sleep 1
 post 7001/admin/fabric "{\"entries\":[\"$ip:7101\",\"$ip:7102\"]}"
