Say the data centre to the platform; end endless exchanges of a load client

A reader did not send X-Data-Centre, so the platform stand-in could not treat data centres apart: the test with a stale platform waited in vain. A request that is answered 4.01 to each repetition now ends as timeout.

--- a/packages/runtime/include/arbutusport/adapters/platform_client.hpp
+++ b/packages/runtime/include/arbutusport/adapters/platform_client.hpp
@@ -33,6 +33,8 @@
 
 struct platform_options {
     endpoint address;
+    /// Of the reader; the platform gets it in the header X-Data-Centre.
+    std::string data_centre;
     duration instances_interval = std::chrono::seconds(10);
     /// Added to the wait of a watch; then the platform counts as down.
     duration response_grace = std::chrono::seconds(5);
--- a/packages/runtime/src/adapters/platform_client.cpp
+++ b/packages/runtime/src/adapters/platform_client.cpp
@@ -56,7 +56,8 @@
 // out of reach of cut().
 class http_reader {
 public:
-    explicit http_reader(const endpoint& address) : peer_(to_string(address)) {}
+    http_reader(const endpoint& address, std::string data_centre)
+        : peer_(to_string(address)), data_centre_(std::move(data_centre)) {}
 
     const std::string& peer() const { return peer_; }
 
@@ -99,6 +100,7 @@
         Poco::Net::HTTPRequest request(Poco::Net::HTTPRequest::HTTP_GET, path,
                                        Poco::Net::HTTPMessage::HTTP_1_1);
         request.setHost(peer_);
+        request.set("X-Data-Centre", data_centre_);
         session.sendRequest(request);
         HTTPResponse head;
         std::istream& in = session.receiveResponse(head);
@@ -110,6 +112,7 @@
     }
 
     std::string peer_;
+    std::string data_centre_;
     std::mutex mutex_;
     // The connection in use, shared with its session.
     Poco::Net::StreamSocket socket_;
@@ -130,8 +133,8 @@
     std::condition_variable wake;
     std::deque<std::function<void()>> jobs;
     bool stopping = false;
-    http_reader reads{options.address};
-    http_reader lists{options.address};
+    http_reader reads{options.address, options.data_centre};
+    http_reader lists{options.address, options.data_centre};
     std::thread reader;
     std::thread lister;
 
--- a/packages/testing/src/emulator/load_client.cpp
+++ b/packages/testing/src/emulator/load_client.cpp
@@ -113,6 +113,8 @@
 
     // Sends the operation's request in a new message under a new token.
     void exchange(operation it, time_point now) {
+        if (now - it.first_sent >= options_.request_timeout)
+            return tell(it, {.result = outcome::timeout}, now);
         forget(it.message.token);
         it.message = make_request(it, options_);
         it.message.id = next_id_++;
