Bound the observations of one host

Each observation holds a message id of the upstream. With 8,192 sessions of 8 observations all 65,536 could be taken, and the search for a free one would not end. The address and undefined-behaviour sanitizers find nothing in the tests of the layer.

--- a/packages/core/include/arbutusport/requests/observations.hpp
+++ b/packages/core/include/arbutusport/requests/observations.hpp
@@ -25,6 +25,8 @@
 inline constexpr std::uint32_t max_repetitions = 4;
 /// A further registration is answered without Observe.
 inline constexpr std::size_t max_observations_per_session = 8;
+/// Of one host. Each holds one of the 65,536 message ids of the upstream.
+inline constexpr std::size_t max_observations = 32'768;
 
 struct observation_key {
     session_id session;
@@ -64,8 +66,8 @@
 
 class observations {
 public:
-    /// @brief False if the session has its maximum. Requires a new key.
-    /// `first` is the answer to the registration.
+    /// @brief False if the session or the host has its maximum. Requires a new
+    /// key. `first` is the answer to the registration.
     bool add(const observation_key& key, std::uint64_t exchange,
              const coap_message& first, time_point now);
     observation* find(const observation_key& key);
--- a/packages/core/src/requests/broker_impl.hpp
+++ b/packages/core/src/requests/broker_impl.hpp
@@ -197,7 +197,8 @@
     std::optional<time_point> drain_deadline_;
     std::mt19937_64 random_;
     broker_counters counters_;
-    // Collected until the caller of the present step takes them.
+    // Collected until the caller of the present step takes them; those of
+    // on_flow_closed go with the next step.
     broker_actions actions_;
 };
 
--- a/packages/core/src/requests/observations.cpp
+++ b/packages/core/src/requests/observations.cpp
@@ -20,7 +20,8 @@
 
 bool observations::add(const observation_key& key, std::uint64_t exchange,
                        const coap_message& first, time_point now) {
-    if (of_session(key.session).size() >= max_observations_per_session)
+    if (observations_.size() >= max_observations ||
+        of_session(key.session).size() >= max_observations_per_session)
         return false;
     observation& it = observations_[key];
     it.exchange = exchange;
--- a/packages/core/src/requests/upstream_exchanges.cpp
+++ b/packages/core/src/requests/upstream_exchanges.cpp
@@ -33,7 +33,8 @@
     do
         it.token = draw_token();
     while (exchanges_.contains(it.token));
-    // Far fewer than 65,536 exchanges are open, so a free id exists.
+    // At most max_observations exchanges and some in progress are open, so a
+    // free id exists.
     while (by_message_id_.contains(++last_message_id_)) {
     }
     it.message_id = last_message_id_;
