--- a/packages/testing/include/arbutusport/emulator/scenario.hpp
+++ b/packages/testing/include/arbutusport/emulator/scenario.hpp
@@ -80,6 +80,8 @@
     link_options links;
     std::vector<load_options> loads;
     std::vector<step> steps;
+    /// Overrides the records' drain time-outs if above zero.
+    duration drain_timeout{};
     /// Load stops here; the run goes on for the longest client time-out.
     duration length = std::chrono::seconds(20);
     std::vector<expectation> expectations;
--- a/packages/testing/include/arbutusport/emulator/virtual_fleet.hpp
+++ b/packages/testing/include/arbutusport/emulator/virtual_fleet.hpp
@@ -23,6 +23,8 @@
 struct fleet_options {
     std::uint64_t seed = 1;
     std::size_t large_text = 64 * 1024;
+    /// Overrides the records' drain time-outs if above zero.
+    duration drain_timeout{};
     /// Called with each datagram for a client.
     std::function<void(const flow_key&, const bytes&)> to_client;
 };
@@ -97,6 +99,7 @@
 
     void add_processes();
     void start(process& it);
+    std::optional<duration> drain_timeout() const;
     std::vector<process*> matching(const std::string& pattern);
     process* by_packets(const endpoint& it);
     process* by_control(const endpoint& it);
--- a/packages/testing/src/emulator/scenario.cpp
+++ b/packages/testing/src/emulator/scenario.cpp
@@ -112,6 +112,8 @@
         }
         if (name == "length")
             return time(value, scenario_.length);
+        if (name == "drain_timeout")
+            return time(value, scenario_.drain_timeout);
         if (name == "delay_within")
             return time(value, links.within_data_centre);
         if (name == "delay_between")
@@ -126,6 +128,7 @@
             return ratio(value, links.duplicates);
         return error("statement " + name,
                      "at, expect, clients, proves, seed, records, length, "
+                     "drain_timeout, "
                      "delay_within, delay_between, delay_clients, jitter, "
                      "loss, duplicates");
     }
--- a/packages/testing/src/emulator/scenario_runner.cpp
+++ b/packages/testing/src/emulator/scenario_runner.cpp
@@ -38,6 +38,7 @@
                        fleet_.from_client(flow, datagram);
                    }),
           fleet_({.seed = plan.seed + 2,
+                  .drain_timeout = plan.drain_timeout,
                   .to_client =
                       [this](const flow_key& flow, const bytes& datagram) {
                           clients_.on_datagram(flow, datagram);
--- a/packages/testing/src/emulator/virtual_fleet.cpp
+++ b/packages/testing/src/emulator/virtual_fleet.cpp
@@ -97,7 +97,8 @@
                                     .data_centre = it.data_centre,
                                     .seeds = seeds,
                                     .seed = seed,
-                                    .requests = requests});
+                                    .requests = requests,
+                                    .drain_timeout = drain_timeout()});
         if (!it.upstream) {
             it.upstream = std::make_unique<upstream_server>(
                 upstream_options{.service = it.service,
@@ -111,6 +112,12 @@
     clock_.after(tick_interval, [this, &it, n = it.starts] { tick(it, n); });
 }
 
+std::optional<duration> virtual_fleet::drain_timeout() const {
+    if (options_.drain_timeout.count() == 0)
+        return std::nullopt;
+    return options_.drain_timeout;
+}
+
 std::vector<virtual_process*>
 virtual_fleet::matching(const std::string& pattern) {
     std::vector<process*> out;
