End an observation that begins after the load client stopped

Cause: an observation that was re-registered when the load ended became established afterwards and was notified without end, so the load tool never returned (survives_the_kill_of_a_host hung for 45 s). It now deregisters.

--- a/packages/testing/src/emulator/load_client.cpp
+++ b/packages/testing/src/emulator/load_client.cpp
@@ -300,6 +300,9 @@
         note_host(it, now, now);
         if (!op.established)
             tell(op, judge_notification(it), now);
+        // Registered only after stop(): it would be observed without end.
+        if (stopping_)
+            return deregister(op);
         op.established = true;
         op.acknowledged = true;
         op.next = now + options_.silent_after;
--- a/packages/testing/src/emulator/load_client_test.cpp
+++ b/packages/testing/src/emulator/load_client_test.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(gets_whole_answers_of_every_kind);
     CPPUNIT_TEST(survives_lost_answers);
     CPPUNIT_TEST(restarts_when_a_text_changes);
+    CPPUNIT_TEST(ends_an_observation_that_begins_after_stop);
     CPPUNIT_TEST(repeats_under_the_given_binding);
     CPPUNIT_TEST(keeps_the_binding_of_a_sent_request);
     CPPUNIT_TEST_SUITE_END();
@@ -120,6 +121,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.violations());
     }
 
+    // Its notifications would keep the load tool running without end.
+    void ends_an_observation_that_begins_after_stop() {
+        direct_pair it;
+        const auto first = it.client.observe(it.now);
+        it.client.stop();
+        it.to_upstream(first);
+        it.run(std::chrono::seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.client.open());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.violations());
+    }
+
     void repeats_under_the_given_binding() {
         load_client client({.name = "c1", .service = "participa"});
         const auto first = parse(client.contribute(time_point{}).at(0));
