Keep ended sessions, so that late copies are told the truth

An ended session is now known by id for as long as a binding to it is valid: its operations answer late copies, and a new one is refused as not run, which is then true. A flow with an established session keeps it when a late copy is passed on. Ruled out: claims and redirects (no drop besides two hop limits).

--- a/packages/core/include/arbutusport/flows/flow_owner.hpp
+++ b/packages/core/include/arbutusport/flows/flow_owner.hpp
@@ -121,9 +121,10 @@
     bool migrate(const flow_key& from, const flow_key& to, time_point now);
 
     /// @brief Sends a datagram that belongs to another host's session to
-    /// that host, as bound by the request.
+    /// that host, as bound by the request. The flow then belongs there,
+    /// unless `keep_flow` is set.
     flow_actions pass_to(process_id host, const flow_key& flow,
-                         byte_view datagram, time_point now);
+                         byte_view datagram, bool keep_flow, time_point now);
 
     /// @brief Own intent or the platform's list says that this host leaves.
     void set_draining(bool draining);
--- a/packages/core/include/arbutusport/node/host_node.hpp
+++ b/packages/core/include/arbutusport/node/host_node.hpp
@@ -72,6 +72,8 @@
     // Rotates the choice of a peer for retries.
     std::uint64_t next_peer_ = 0;
     bool draining_ = false;
+    // Time of the call in progress, for the flow layer's hook.
+    time_point now_;
 };
 
 } // namespace arbutusport::node
--- a/packages/core/include/arbutusport/requests/admission_queue.hpp
+++ b/packages/core/include/arbutusport/requests/admission_queue.hpp
@@ -29,6 +29,9 @@
 public:
     explicit admission_queue(std::size_t max_requests) : max_(max_requests) {}
 
+    /// @brief Holds for requests that come from now on.
+    void set_limit(std::size_t max_requests) { max_ = max_requests; }
+
     /// @brief Admits the request, if need be in place of the latest request
     /// of the source that fills the queue. Returns the job that is refused
     /// instead: that one, the new one, or none.
--- a/packages/core/include/arbutusport/requests/request_broker.hpp
+++ b/packages/core/include/arbutusport/requests/request_broker.hpp
@@ -77,6 +77,9 @@
     process_id host;
     flow_key flow;
     bytes datagram;
+    /// A session is established here, so the flow stays: the datagram may be
+    /// a late copy of an earlier session at that host.
+    bool keep_flow = false;
 };
 
 /// @brief The session moves from one flow key to another.
@@ -131,7 +134,9 @@
     broker_actions on_tick(time_point now);
 
     /// @brief The flow layer closed the flow.
-    void on_flow_closed(const flow_key& flow);
+    void on_flow_closed(const flow_key& flow, time_point now);
+    /// @brief Adopts the published limits; what is queued stays queued.
+    void set_limits(std::uint32_t slots, std::size_t max_queue);
     /// @brief Begins to drain; sessions end by notice at `deadline`.
     void drain(time_point deadline);
     /// @brief True when nothing is in progress and no session is open.
--- a/packages/core/include/arbutusport/requests/session_table.hpp
+++ b/packages/core/include/arbutusport/requests/session_table.hpp
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -33,30 +34,44 @@
     /// Requests in progress, queued ones included.
     std::uint32_t jobs = 0;
     std::vector<block_transfer> transfers;
+    /// An ended session admits nothing; it is kept for as long as a binding
+    /// to it is valid, so that late copies are told the truth.
+    bool ended = false;
 };
 
 class session_table {
 public:
     explicit session_table(std::size_t max_sessions) : max_(max_sessions) {}
 
-    /// @brief Null if there is none.
+    /// @brief Null if there is none. Ended sessions are found by id only.
     session* find(session_id id);
     session* find(const flow_key& flow);
-    /// @brief Null if the table is full. Requires that the flow has none.
+    /// @brief Null if the table is full of open sessions; ended ones make
+    /// room, the oldest first. Requires that the flow has none.
     session* open(const flow_key& flow);
     /// @brief Moves a session to a flow without one.
     void migrate(session& it, const flow_key& to);
-    void erase(session_id id);
+    /// @brief Requires an open session.
+    void end(session& it, time_point forget_at);
+    /// @brief Forgets ended sessions whose time has come.
+    void expire(time_point now);
+    /// @brief Open sessions.
     std::vector<session_id> ids() const;
-
-    std::size_t size() const { return sessions_.size(); }
+    std::size_t size() const { return by_flow_.size(); }
 
 private:
+    struct ended_session {
+        session_id id;
+        time_point forget_at;
+    };
+
     std::size_t max_;
     std::uint64_t last_id_ = 0;
     std::unordered_map<session_id, session> sessions_;
-    // Exactly one element for each session.
+    // Exactly one element for each open session.
     std::unordered_map<flow_key, session_id> by_flow_;
+    // Exactly one element for each ended session, oldest first.
+    std::deque<ended_session> ended_;
 };
 
 } // namespace arbutusport::requests
--- a/packages/core/src/flows/flow_owner.cpp
+++ b/packages/core/src/flows/flow_owner.cpp
@@ -82,9 +82,11 @@
 }
 
 flow_actions flow_owner::pass_to(process_id host, const flow_key& flow,
-                                 byte_view datagram, time_point now) {
-    return locked(
-        [&](impl& it) { return it.pass_to(host, flow, datagram, now); });
+                                 byte_view datagram, bool keep_flow,
+                                 time_point now) {
+    return locked([&](impl& it) {
+        return it.pass_to(host, flow, datagram, keep_flow, now);
+    });
 }
 
 void flow_owner::set_draining(bool draining) {
--- a/packages/core/src/flows/flow_owner_impl.hpp
+++ b/packages/core/src/flows/flow_owner_impl.hpp
@@ -36,7 +36,7 @@
     void release(const flow_key& flow);
     bool migrate(const flow_key& from, const flow_key& to, time_point now);
     flow_actions pass_to(process_id host, const flow_key& flow,
-                         byte_view datagram, time_point now);
+                         byte_view datagram, bool keep_flow, time_point now);
     void set_draining(bool draining) { is_draining_ = draining; }
     void set_accepting(bool accepting) { is_accepting_ = accepting; }
     flow_actions on_resumed(time_point now);
--- a/packages/core/src/flows/flow_owner_test.cpp
+++ b/packages/core/src/flows/flow_owner_test.cpp
@@ -353,7 +353,8 @@
         CPPUNIT_ASSERT(it.owner->migrate(it.flow, moved, start));
         CPPUNIT_ASSERT(it.owner->owns(moved) && !it.owner->owns(it.flow));
         CPPUNIT_ASSERT(!it.owner->migrate(it.flow, moved, start));
-        const auto passed = it.owner->pass_to(process_id(2), moved, {}, start);
+        const auto passed =
+            it.owner->pass_to(process_id(2), moved, {}, false, start);
         CPPUNIT_ASSERT(
             sent(passed, message_type::relay).at(0).candidates.empty());
         CPPUNIT_ASSERT(!it.owner->owns(moved));
--- a/packages/core/src/flows/flow_path.cpp
+++ b/packages/core/src/flows/flow_path.cpp
@@ -334,7 +334,8 @@
 }
 
 flow_actions flow_owner::impl::pass_to(process_id host, const flow_key& flow,
-                                       byte_view datagram, time_point) {
+                                       byte_view datagram, bool keep_flow,
+                                       time_point) {
     if (service_ == nullptr)
         return {};
     const auto found =
@@ -349,8 +350,10 @@
     if (const auto it = flows_.find(flow); it != flows_.end())
         message.reply_entry = it->second.reply_entry;
     message.body.assign(datagram.begin(), datagram.end());
-    release(flow);
-    redirects_.put(flow, {to});
+    if (!keep_flow) {
+        release(flow);
+        redirects_.put(flow, {to});
+    }
     forward(std::move(message), to);
     return take();
 }
--- a/packages/core/src/node/host_node.cpp
+++ b/packages/core/src/node/host_node.cpp
@@ -55,7 +55,7 @@
               return control_.is_entry_down(address);
           };
           it.on_closed = [this](const flow_key& flow) {
-              broker_.on_flow_closed(flow);
+              broker_.on_flow_closed(flow, now_);
           };
           return it;
       }()),
@@ -70,6 +70,7 @@
 
 outputs host_node::on_packet(wire::packet message, const endpoint& from,
                              time_point now) {
+    now_ = now;
     switch (message.type) {
     case wire::message_type::probe:
     case wire::message_type::probe_ack:
@@ -84,10 +85,12 @@
 }
 
 outputs host_node::on_upstream(byte_view datagram, time_point now) {
+    now_ = now;
     return convert(broker_.on_upstream(datagram, now), now);
 }
 
 outputs host_node::on_tick(time_point now) {
+    now_ = now;
     // Control first: after a pause, claims are void before they are acted on.
     outputs out = control_.on_tick(now);
     append(convert(flows_.on_tick(now), now), out);
@@ -105,6 +108,7 @@
 }
 
 outputs host_node::drain(time_point now) {
+    now_ = now;
     if (draining_)
         return {};
     draining_ = true;
@@ -127,6 +131,7 @@
 
 outputs host_node::on_config(const records::snapshot_ptr& snapshot,
                              time_point now) {
+    now_ = now;
     outputs out = convert(flows_.set_snapshot(snapshot, now), now);
     const records::host* own = find_host(options_.self);
     if (!own || own->state != records::host_state::active)
@@ -184,9 +189,10 @@
     else if (auto* it = std::get_if<requests::execute_done>(&action))
         reply_to_peer(*it, out);
     else if (auto* it = std::get_if<requests::pass_on>(&action))
-        append(
-            convert(flows_.pass_to(it->host, it->flow, it->datagram, now), now),
-            out);
+        append(convert(flows_.pass_to(it->host, it->flow, it->datagram,
+                                      it->keep_flow, now),
+                       now),
+               out);
     else if (auto* it = std::get_if<requests::migrate_flow>(&action))
         flows_.migrate(it->from, it->to, now);
     else if (auto* it = std::get_if<requests::release_flow>(&action))
@@ -242,8 +248,7 @@
 
 bool host_node::is_gone(process_id id) const {
     const records::host* it = find_host(id);
-    return !it || it->state == records::host_state::out ||
-           control_.is_down(id);
+    return !it || it->state == records::host_state::out || control_.is_down(id);
 }
 
 const records::host* host_node::find_host(process_id id) const {
--- a/packages/core/src/requests/broker_client.cpp
+++ b/packages/core/src/requests/broker_client.cpp
@@ -96,10 +96,18 @@
     out.bound = sessions_.find(named->session);
     if (!out.bound)
         return out;
+    // Expired bindings of ended sessions are stale too: their operations may
+    // have been forgotten.
     const bool expired = options_.enabled.recheck_deadlines &&
                          now >= named->issued() + options_.binding_lifetime;
     const bool revoked = named->epoch != out.bound->epoch;
-    out.value = expired || revoked ? standing::stale : standing::valid;
+    out.value = expired || revoked ? standing::stale
+                : out.bound->ended ? standing::ended
+                                   : standing::valid;
+    if (out.bound->ended && out.value == standing::stale) {
+        out.value = standing::foreign;
+        out.bound = nullptr;
+    }
     return out;
 }
 
@@ -122,7 +130,7 @@
     if (of.bound == present || late)
         return of.bound;
     if (present)
-        close_session(present->id);
+        close_session(present->id, now);
     actions_.emplace_back(migrate_flow{of.bound->flow, flow});
     sessions_.migrate(*of.bound, flow);
     return of.bound;
@@ -131,18 +139,17 @@
 void request_broker::impl::on_request(const flow_key& flow,
                                       coap_message request, time_point now) {
     const verdict judged = judge(request, now);
-    if (judged.value == standing::elsewhere) {
-        actions_.emplace_back(
-            pass_on{judged.named.host, flow, serialise(request)});
-        return;
-    }
+    if (judged.value == standing::elsewhere)
+        return pass_to_bound(judged.named.host, flow, request);
     ++counters_.requests;
     const bool idempotent = is_idempotent(request.code);
     const bool unbound = judged.value == standing::unbound;
     const copy_address copy{flow, request.type, request.id, request.token};
+    if (judged.value == standing::ended)
+        return on_ended(flow, copy, std::move(request), judged, now);
     session* of = resolve_session(flow, judged, request, now);
     if (!of)
-        return refuse_session(copy, unbound && !idempotent, now);
+        return refuse_session(copy, idempotent, unbound, now);
     if (options_.enabled.deduplicate)
         if (operation* known =
                 operations_.find(make_operation_key(of->id, request)))
@@ -152,10 +159,50 @@
     on_new_request(*of, copy, std::move(request), judged, now);
 }
 
-void request_broker::impl::refuse_session(const copy_address& copy,
-                                          bool never_runs, time_point now) {
+void request_broker::impl::pass_to_bound(process_id host, const flow_key& flow,
+                                         const coap_message& request) {
+    const session* present = sessions_.find(flow);
+    const bool established =
+        present && (present->jobs > 0 || present->newest_binding_s > 0);
+    actions_.emplace_back(pass_on{host, flow, serialise(request), established});
+}
+
+void request_broker::impl::on_ended(const flow_key& flow,
+                                    const copy_address& copy,
+                                    coap_message request, const verdict& judged,
+                                    time_point now) {
+    if (operation* known =
+            operations_.find(make_operation_key(judged.bound->id, request)))
+        return on_copy(*known, copy);
+    // Every operation of the session is still known, and the session admits
+    // none any more: this one never ran and never will.
     ++counters_.not_run;
-    respond(copy, make_refusal(never_runs));
+    if (draining_ended(now)) {
+        respond(copy, make_closing(not_run_payload));
+        actions_.emplace_back(release_flow{flow});
+        return;
+    }
+    session* of = sessions_.find(flow);
+    if (!of)
+        of = sessions_.open(flow);
+    if (!of)
+        return respond(copy, make_refusal(!is_idempotent(request.code)));
+    auto response = make_response(codes::unauthorized, "session ended");
+    add_binding(*of, response, now);
+    respond(copy, std::move(response));
+}
+
+void request_broker::impl::refuse_session(const copy_address& copy,
+                                          bool idempotent, bool unbound,
+                                          time_point now) {
+    const bool may_have_run = !idempotent && !unbound;
+    if (may_have_run) {
+        ++counters_.unknown;
+        respond(copy, make_response(codes::gateway_timeout, unknown_payload));
+    } else {
+        ++counters_.not_run;
+        respond(copy, make_refusal(!idempotent));
+    }
     if (draining_ended(now))
         actions_.emplace_back(release_flow{copy.flow});
 }
@@ -222,22 +269,29 @@
     admit(add_job(std::move(it), now).id, now);
 }
 
-void request_broker::impl::close_session(session_id id) {
+void request_broker::impl::close_session(session_id id, time_point now) {
+    session* of = sessions_.find(id);
+    if (!of || of->ended)
+        return;
     std::vector<std::uint64_t> open;
     for (const auto& [job_id, it] : jobs_)
         if (it.session == id && !it.of_peer())
             open.push_back(job_id);
-    for (const std::uint64_t job_id : open)
-        drop_job(job_id);
+    for (const std::uint64_t job_id : open) {
+        // The end of one job may have started or ended another.
+        const auto at = jobs_.find(job_id);
+        if (at != jobs_.end())
+            cancel(at->second, now);
+    }
     for (const auto& key : observations_.of_session(id))
         deregister(key);
-    operations_.erase_session(id);
-    sessions_.erase(id);
+    sessions_.end(*sessions_.find(id), now + options_.binding_lifetime);
 }
 
-void request_broker::impl::on_flow_closed(const flow_key& flow) {
+void request_broker::impl::on_flow_closed(const flow_key& flow,
+                                          time_point now) {
     if (const session* of = sessions_.find(flow))
-        close_session(of->id);
+        close_session(of->id, now);
 }
 
 } // namespace arbutusport::requests
--- a/packages/core/src/requests/broker_impl.hpp
+++ b/packages/core/src/requests/broker_impl.hpp
@@ -73,7 +73,7 @@
 
     // The client's side.
     void on_client(const flow_key& flow, byte_view datagram, time_point now);
-    void on_flow_closed(const flow_key& flow);
+    void on_flow_closed(const flow_key& flow, time_point now);
 
     // The side of the upstream and of other hosts.
     void on_upstream(byte_view datagram, time_point now);
@@ -83,6 +83,10 @@
                           time_point now);
 
     void on_tick(time_point now);
+    void set_limits(std::uint32_t slots, std::size_t max_queue) {
+        options_.slots = slots;
+        queue_.set_limit(max_queue);
+    }
     void drain(time_point deadline) { drain_deadline_ = deadline; }
     bool drained() const;
 
@@ -99,6 +103,7 @@
         unbound,   // no binding: has never been admitted anywhere
         valid,     // admits a new operation
         stale,     // was issued here, but admits none any more
+        ended,     // its session has ended: a new operation never ran
         foreign,   // another incarnation, which may have run the request
         elsewhere, // another host that is believed up
     };
@@ -106,7 +111,7 @@
     struct verdict {
         standing value = standing::unbound;
         binding named;
-        /// The session that the binding names, if it is open here.
+        /// The session that the binding names, if it is known here.
         session* bound = nullptr;
     };
 
@@ -117,9 +122,14 @@
     verdict judge(const coap_message& request, time_point now);
     session* resolve_session(const flow_key& flow, const verdict& of,
                              const coap_message& request, time_point now);
-    void refuse_session(const copy_address& copy, bool never_runs,
+    void refuse_session(const copy_address& copy, bool idempotent, bool unbound,
                         time_point now);
     void on_copy(operation& known, const copy_address& copy);
+    /// A request under the binding of a session that has ended.
+    void on_ended(const flow_key& flow, const copy_address& copy,
+                  coap_message request, const verdict& judged, time_point now);
+    void pass_to_bound(process_id host, const flow_key& flow,
+                       const coap_message& request);
     void on_new_request(session& of, const copy_address& copy,
                         coap_message request, const verdict& judged,
                         time_point now);
@@ -127,7 +137,7 @@
                         time_point now);
     void deregister(const observation_key& key);
     void cancel(job& it, time_point now);
-    void close_session(session_id id);
+    void close_session(session_id id, time_point now);
 
     // broker_jobs.cpp
     /// Reads and removes the options that are meant for the broker.
@@ -171,6 +181,7 @@
     void respond(const copy_address& to, coap_message response);
     void respond_to(const job& it, coap_message response);
     coap_message make_refusal(bool never_runs) const;
+    coap_message make_closing(std::string_view payload) const;
     void add_binding(const session& of, coap_message& response,
                      time_point now) const;
     void send_notification(const observation_key& key, bool retransmission);
--- a/packages/core/src/requests/broker_jobs.cpp
+++ b/packages/core/src/requests/broker_jobs.cpp
@@ -92,7 +92,8 @@
                                   operation_state state, time_point now) {
     job& it = jobs_.at(id);
     response.erase(options::echo);
-    if (session* of = sessions_.find(it.session); of && !it.of_peer())
+    if (session* of = sessions_.find(it.session);
+        of && !of->ended && !it.of_peer())
         // A read that came without a binding is answered with one, so that
         // the session can be found again under a new flow key.
         if (!it.idempotent() || !it.bound)
--- a/packages/core/src/requests/broker_timers.cpp
+++ b/packages/core/src/requests/broker_timers.cpp
@@ -7,6 +7,7 @@
 void request_broker::impl::on_tick(time_point now) {
     expire_jobs(now);
     operations_.expire(now);
+    sessions_.expire(now);
     for (auto& datagram : exchanges_.repeat(now))
         actions_.emplace_back(to_upstream{std::move(datagram)});
     send_elsewhere(now);
@@ -77,7 +78,7 @@
             reply{of->flow, serialise(it->last), retransmission});
 }
 
-void request_broker::impl::end_sessions(time_point) {
+void request_broker::impl::end_sessions(time_point now) {
     for (const session_id id : sessions_.ids()) {
         const session* of = sessions_.find(id);
         // A request in progress is not cut off; its deadline bounds it.
@@ -85,13 +86,12 @@
             continue;
         send_closing_notice(*of);
         actions_.emplace_back(release_flow{of->flow});
-        close_session(id);
+        close_session(id, now);
     }
 }
 
 void request_broker::impl::send_closing_notice(const session& of) {
-    auto notice = make_response(codes::unavailable, "closing");
-    notice.add_uint(options::max_age, 0);
+    const auto notice = make_closing("closing");
     const copy_address to{of.flow, coap_type::non_confirmable, 0, {}};
     const auto keys = observations_.of_session(of.id);
     // Without an observation the notice has no token.
--- a/packages/core/src/requests/request_broker.cpp
+++ b/packages/core/src/requests/request_broker.cpp
@@ -50,6 +50,13 @@
     return it;
 }
 
+coap_message
+request_broker::impl::make_closing(std::string_view payload) const {
+    auto it = make_response(codes::unavailable, payload);
+    it.add_uint(options::max_age, 0);
+    return it;
+}
+
 void request_broker::impl::add_binding(const session& of,
                                        coap_message& response,
                                        time_point now) const {
@@ -103,8 +110,12 @@
     return impl_->take_actions();
 }
 
-void request_broker::on_flow_closed(const flow_key& flow) {
-    impl_->on_flow_closed(flow);
+void request_broker::on_flow_closed(const flow_key& flow, time_point now) {
+    impl_->on_flow_closed(flow, now);
+}
+
+void request_broker::set_limits(std::uint32_t slots, std::size_t max_queue) {
+    impl_->set_limits(slots, max_queue);
 }
 
 void request_broker::drain(time_point deadline) {
--- a/packages/core/src/requests/session_table.cpp
+++ b/packages/core/src/requests/session_table.cpp
@@ -15,8 +15,12 @@
 }
 
 session* session_table::open(const flow_key& flow) {
-    if (sessions_.size() >= max_)
+    if (by_flow_.size() >= max_)
         return nullptr;
+    if (sessions_.size() >= max_) {
+        sessions_.erase(ended_.front().id);
+        ended_.pop_front();
+    }
     const session_id id(++last_id_);
     session& it = sessions_[id];
     it.id = id;
@@ -31,18 +35,24 @@
     by_flow_[to] = it.id;
 }
 
-void session_table::erase(session_id id) {
-    const auto at = sessions_.find(id);
-    if (at == sessions_.end())
-        return;
-    by_flow_.erase(at->second.flow);
-    sessions_.erase(at);
+void session_table::end(session& it, time_point forget_at) {
+    by_flow_.erase(it.flow);
+    it.ended = true;
+    it.transfers.clear();
+    ended_.push_back({it.id, forget_at});
+}
+
+void session_table::expire(time_point now) {
+    while (!ended_.empty() && ended_.front().forget_at <= now) {
+        sessions_.erase(ended_.front().id);
+        ended_.pop_front();
+    }
 }
 
 std::vector<session_id> session_table::ids() const {
     std::vector<session_id> out;
-    out.reserve(sessions_.size());
-    for (const auto& [id, it] : sessions_)
+    out.reserve(by_flow_.size());
+    for (const auto& [flow, id] : by_flow_)
         out.push_back(id);
     return out;
 }
--- a/packages/testing/src/emulator/load_client.cpp
+++ b/packages/testing/src/emulator/load_client.cpp
@@ -215,11 +215,15 @@
             ++counters_.closing_notices;
             echo_.clear();
             host_.clear();
+            session_since_ = now;
         }
         // An earlier block or copy of a read may have run, so the read as a
         // whole is not "not run"; the block is asked for again.
-        if (op.kind == request_kind::text)
+        if (op.kind == request_kind::text) {
+            if (closing)
+                op.echo.clear();
             return postpone(std::move(op), now);
+        }
         const retry again{op.kind, op.text};
         if (!op.established)
             tell(op, {.result = outcome::not_run}, now);
@@ -238,16 +242,19 @@
     // The session ended unless the request belongs to one that is already
     // known to have ended.
     void note_broken_flow(time_point request_sent, time_point now) {
-        if (request_sent < last_break_)
+        if (request_sent < session_since_)
             return;
         ++counters_.broken_flows;
-        last_break_ = now;
+        session_since_ = now;
         host_.clear();
     }
 
     // Contributions and notifications come from the host of the session.
     void note_host(const coap_message& it, time_point request_sent,
                    time_point now) {
+        // The answer of an earlier session may come after its end.
+        if (request_sent < session_since_)
+            return;
         const payload got = parse_payload(requests::payload_text(it));
         const std::string host = field(got.fields, "host");
         if (!host_.empty() && host != host_)
@@ -414,7 +421,8 @@
     bytes echo_;
     // The host that runs the session, as its answers name it.
     std::string host_;
-    time_point last_break_;
+    // When the session before this one ended.
+    time_point session_since_;
     // By the token of the present exchange.
     std::map<bytes, operation> operations_;
     std::deque<bytes> ended_;
