--- a/packages/core/src/flows/flow_path.cpp
+++ b/packages/core/src/flows/flow_path.cpp
@@ -379,8 +379,12 @@
     host_load it;
     it.flows = static_cast<std::uint32_t>(flows_.size());
     it.weight = weight_;
+    const std::size_t limit =
+        service_ ? std::min<std::size_t>(options_.max_flows,
+                                         service_->limits.connections)
+                 : options_.max_flows;
     it.eligible = is_accepting_ && !is_draining_ && is_published_active_ &&
-                  flows_.size() < options_.max_flows;
+                  flows_.size() < limit;
     const double full =
         service_ ? static_cast<double>(service_->slow_start.count()) : 0;
     if (started_ && full > 0) {
--- a/packages/core/src/node/host_node.cpp
+++ b/packages/core/src/node/host_node.cpp
@@ -133,6 +133,8 @@
                              time_point now) {
     now_ = now;
     outputs out = convert(flows_.set_snapshot(snapshot, now), now);
+    if (const auto* service = snapshot->find_service(options_.service))
+        broker_.set_limits(service->limits.slots, service->limits.queue);
     const records::host* own = find_host(options_.self);
     if (!own || own->state != records::host_state::active)
         append(drain(now), out);
