Measure control traffic, queries, bitmaps and idle processes

The target bounds control per node, and no figure showed how the bytes of membership, configuration and flow ownership grow with the fleet, nor what an idle process takes.

--- a/packages/testing/include/arbutusport/emulator/bench.hpp
+++ b/packages/testing/include/arbutusport/emulator/bench.hpp
@@ -29,5 +29,11 @@
 void bench_config(std::uint64_t seed, const figure_sink& sink);
 void bench_requests(std::uint64_t seed, const figure_sink& sink);
 void bench_path(std::uint64_t seed, const figure_sink& sink);
+/// @brief Control bytes and calls by the number of members.
+void bench_control(std::uint64_t seed, const figure_sink& sink);
+/// @brief Ownership queries, holder bitmaps, and tables by size.
+void bench_flow_control(std::uint64_t seed, const figure_sink& sink);
+/// @brief Memory and processor time of idle processes.
+void bench_process(std::uint64_t seed, const figure_sink& sink);
 
 } // namespace arbutusport::emulator
--- a/packages/testing/include/arbutusport/emulator/deployment.hpp
+++ b/packages/testing/include/arbutusport/emulator/deployment.hpp
@@ -38,6 +38,8 @@
     /// @brief Starts a process that has ended, on the same addresses.
     void restart(const std::string& name);
     bool is_running(const std::string& name) const;
+    /// @brief The operating system's id of a running process.
+    int pid_of(const std::string& name);
 
     /// @brief The entries to which the fabric sends, by name.
     void set_entries(const std::vector<std::string>& names);
--- a/packages/testing/src/emulator/bench_config.cpp
+++ b/packages/testing/src/emulator/bench_config.cpp
@@ -190,7 +190,7 @@
     return static_cast<double>(sent) / 30 / static_cast<double>(processes);
 }
 
-void bench_control(std::uint64_t seed, const figure_sink& sink) {
+void bench_traffic(std::uint64_t seed, const figure_sink& sink) {
     constexpr std::size_t processes = 256;
     constexpr int changes = 3;
     const double probes = probe_bytes(processes, seed);
@@ -254,7 +254,7 @@
 void bench_config(std::uint64_t seed, const figure_sink& sink) {
     bench_in_force(seed, sink);
     bench_spread(seed, sink);
-    bench_control(seed, sink);
+    bench_traffic(seed, sink);
     bench_config_sizes(seed, sink);
 }
 
--- /dev/null
+++ b/packages/testing/src/emulator/bench_process.cpp
@@ -0,0 +1,82 @@
+// Memory and processor time of idle arbutusd processes, from /proc.
+
+#include <arbutusport/emulator/bench.hpp>
+#include <arbutusport/emulator/deployment.hpp>
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <string>
+#include <thread>
+
+namespace arbutusport::emulator {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto warm_up = 5s;
+constexpr auto observed = 20s;
+
+// User and system time of a process, in seconds.
+double cpu_seconds(int pid) {
+    std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
+    std::string text;
+    std::getline(in, text);
+    // Fields 14 and 15; the name in field 2 may hold blanks.
+    std::istringstream rest(text.substr(text.rfind(')') + 1));
+    std::string skipped;
+    for (int i = 3; i < 14; ++i)
+        rest >> skipped;
+    double user = 0;
+    double system = 0;
+    rest >> user >> system;
+    return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+double resident_bytes(int pid) {
+    std::ifstream in("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(in, line);)
+        if (line.starts_with("VmRSS:"))
+            return std::stod(line.substr(6)) * 1024;
+    return 0;
+}
+
+} // namespace
+
+void bench_process(std::uint64_t seed, const figure_sink& sink) {
+    deployment fleet(
+        {.services = {{"participa", 7}, {"acervo", 3}}, .seed = seed});
+    std::this_thread::sleep_for(warm_up);
+    std::map<std::string, double> before;
+    for (const auto& [name, unused] : fleet.layout().settings)
+        before[name] = cpu_seconds(fleet.pid_of(name));
+    std::this_thread::sleep_for(observed);
+    const double seconds = std::chrono::duration<double>(observed).count();
+    for (const std::string role : {"entry", "host"}) {
+        double cpu = 0;
+        double memory = 0;
+        int n = 0;
+        for (const auto& [name, start] : before) {
+            if (name.starts_with("entry") != (role == "entry"))
+                continue;
+            const int pid = fleet.pid_of(name);
+            cpu += (cpu_seconds(pid) - start) / seconds;
+            memory = std::max(memory, resident_bytes(pid));
+            ++n;
+        }
+        const std::string notes = "role=" + role +
+                                  " processes=" + std::to_string(n) +
+                                  " fleet=13 services=2 clients=0";
+        sink({"idle_cpu_percent", 100 * cpu / n, "%", 0, "none", seed,
+              notes + " observed_s=20 mean=1"});
+        sink({"idle_resident_bytes", memory, "B", 0, "none", seed,
+              notes + " largest=1"});
+    }
+}
+
+} // namespace arbutusport::emulator
--- a/packages/testing/src/emulator/deployment.cpp
+++ b/packages/testing/src/emulator/deployment.cpp
@@ -116,6 +116,10 @@
         return it != running_.end() && Poco::Process::isRunning(it->second);
     }
 
+    int pid_of(const std::string& name) {
+        return static_cast<int>(handle(name).id());
+    }
+
     void set_entries(const std::vector<std::string>& names) {
         json list = json::array();
         for (const std::string& it : names)
@@ -295,6 +299,10 @@
     return impl_->is_running(name);
 }
 
+int deployment::pid_of(const std::string& name) {
+    return impl_->pid_of(name);
+}
+
 void deployment::set_entries(const std::vector<std::string>& names) {
     impl_->set_entries(names);
 }
--- a/packages/testing/src/tools/bench_main.cpp
+++ b/packages/testing/src/tools/bench_main.cpp
@@ -18,10 +18,10 @@
 using bench_function = void (*)(std::uint64_t, const figure_sink&);
 
 const std::map<std::string, bench_function> areas{
-    {"routing", bench_routing},
-    {"config", bench_config},
-    {"requests", bench_requests},
-    {"path", bench_path},
+    {"routing", bench_routing},   {"config", bench_config},
+    {"requests", bench_requests}, {"path", bench_path},
+    {"control", bench_control},   {"flow_control", bench_flow_control},
+    {"process", bench_process},
 };
 
 } // namespace
@@ -32,7 +32,8 @@
     std::vector<std::string> chosen;
     options.add_options()("help", "show this text")(
         "seed", po::value(&seed), "seed of every random choice")(
-        "area", po::value(&chosen), "routing, config, requests or path");
+        "area", po::value(&chosen),
+        "routing, config, requests, path, control, flow_control or process");
     po::positional_options_description positional;
     positional.add("area", -1);
     po::variables_map values;
