--- a/packages/testing/src/emulator/bench_control.cpp
+++ b/packages/testing/src/emulator/bench_control.cpp
@@ -194,11 +194,11 @@
 } // namespace
 
 void bench_control(std::uint64_t seed, const figure_sink& sink) {
-    for (const std::size_t it : sizes)
-        bench_members(it, seed, sink);
     for (const std::size_t it : sizes)
         bench_sync(it, seed, sink);
     bench_link_loss(seed, sink);
+    for (const std::size_t it : sizes)
+        bench_members(it, seed, sink);
 }
 
 } // namespace arbutusport::emulator
