--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -124,6 +124,13 @@
             self.add("bytes", both, label, self.scaled(value, events / DAY),
                      "events piggybacked on probes (4.4)",
                      f"`{figure}` members={n} x {events} a day")
+        self.add("bytes", both, "full sets after restarts",
+                 self.scaled(self.at_target("published_bytes"),
+                             2 * (FAILURES_A_DAY + RESTARTS_A_DAY)
+                             / MEMBERS / DAY),
+                 "a fresh process pulls the set from a peer (4.1)",
+                 f"`published_bytes` hosts={HOSTS}, sent and received, mean "
+                 "over the fleet")
         self.add("bytes", both, "list of instances",
                  self.scaled(self.at_target("instance_list_bytes"),
                              1 / self.interval()),
@@ -324,6 +331,18 @@
                   "grow with the fleet; the other calls grow with the data "
                   "centres.\n\n")
 
+    def in_force(self):
+        rounds = self.f.value("config_spread_rounds_extrapolated")
+        reader = self.f.value("config_in_force_s")
+        return ("## Time until a change is in force\n\n"
+                f"{number(rounds)} s after the first process, of 19 s: "
+                "gossip rounds of one second with a push to 3 peers "
+                "(`config_spread_rounds_extrapolated`, from 64, 256 and 1,024 "
+                f"members to {MEMBERS:,}). With 13 processes and the platform "
+                f"down in one data centre it took {number(reader)} s "
+                "(`config_in_force_s`). Delays are virtual; the time in which "
+                "a loaded process handles a message is not in it.\n\n")
+
     def first_limit(self):
         """Sizes at which a limit is met, if hosts and flows grow alike."""
         found = []
@@ -369,7 +388,6 @@
         starts = self.f.all("isolation_bytes_per_s", window_s="0..60")
         early = max(starts, key=lambda r: int(r["members"])) if starts else None
         rejoin, r = self.by_members("rejoin_bytes_per_s")
-        back = self.f.largest("data_centre_restart_bytes", "members")
         calls = self.f.largest("data_centre_restart_calls", "members")
         link = self.f.all("link_return_s")
         lost = FLOWS / DATA_CENTRES
@@ -398,17 +416,27 @@
              f"`isolation_bytes_per_s` window_s=360..420 members={n}"),
             ("membership events", f"{MEMBERS // DATA_CENTRES}",
              "one a process of the data centre; not measured at this size"),
-            ("bytes a process when it starts again",
-             (number(float(back["value"])) if back else "not measured")
-             + " B", "`data_centre_restart_bytes` 1 of 3 data centres, mean "
-             "over the fleet"),
+            ("bytes that each process pulls when it starts again",
+             number(self.at_target("published_bytes")) + " B",
+             f"`published_bytes` hosts={HOSTS}"),
             ("calls of the platform when it starts again",
-             (f"{float(calls['value']):.0f}, at most "
-              f"{float(calls['peak_per_s']):.0f} a second"
-              if calls else "not measured"),
-             "`data_centre_restart_calls` 1 of 3 data centres, members="
+             number(self.per_restarted(calls, "value")),
+             "`data_centre_restart_calls` by restarted process, members="
              + (calls["members"] if calls else "none")),
+            ("the same in the busiest second, of 2,000",
+             number(self.per_restarted(calls, "peak_per_s")),
+             "`data_centre_restart_calls` peak_per_s, likewise"),
         ])
+        start = self.f.largest("start_calls", "members")
+        if start:
+            peak = float(start["peak_per_s"]) / float(start["members"])
+            out += (f"\nIf all {MEMBERS:,} processes started at once, the "
+                    f"busiest second would have about {peak * MEMBERS:,.0f} "
+                    "calls, of 2,000 allowed (`start_calls` peak_per_s, "
+                    f"{float(start['peak_per_s']):.0f} at {start['members']} "
+                    "members, scaled by the number of members). The platform "
+                    "then refuses some reads; what a process does then is not "
+                    "measured.\n")
         out += ("\nThe time in which the flows re-open depends on the "
                 "clients' retransmissions, which are not measured. A host "
                 "holds 1,024 packets at once and refuses more (held_full).\n\n")
@@ -432,11 +460,19 @@
                     "(`link_return_s`).\n")
         return out + "\n"
 
+    def per_restarted(self, row, key):
+        """A third of the measured fleet restarted; an eighth does here."""
+        if row is None:
+            return None
+        return float(row[key]) / (float(row["members"]) / 3) * (
+            MEMBERS / DATA_CENTRES)
+
     def extrapolation(self):
         rows = []
         for name in ("probe_bytes_per_s", "sync_bytes_per_s", "change_bytes",
                      "failure_bytes", "replacement_bytes",
-                     "isolation_bytes_per_s", "rejoin_bytes_per_s"):
+                     "isolation_bytes_per_s", "rejoin_bytes_per_s",
+                     "start_calls", "data_centre_restart_calls"):
             sizes = sorted({int(r["members"]): float(r["value"])
                             for r in self.f.all(name)}.items())
             if sizes:
@@ -481,7 +517,7 @@
             f"{RESTARTS_A_DAY} restarts a day.\n\n"
             "Runs:\n\n" + runs + "\n\n"
             + self.role_section("entry") + self.role_section("host")
-            + self.platform() + self.first_limit() + self.failures()
+            + self.platform() + self.in_force() + self.first_limit() + self.failures()
             + self.extrapolation())
 
 
