--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -384,7 +384,8 @@
                 f"the target is {NEW_FLOWS / HOSTS:.1f} and {NEW_FLOWS:,}.\n")
 
     def failures(self):
-        isolated, n = self.by_members("isolation_bytes_per_s")
+        isolated, n = self.by_members("isolation_bytes_per_s",
+                                      window_s="360..420")
         starts = self.f.all("isolation_bytes_per_s", window_s="0..60")
         early = max(starts, key=lambda r: int(r["members"])) if starts else None
         rejoin, r = self.by_members("rejoin_bytes_per_s")
@@ -432,11 +433,11 @@
             peak = float(start["peak_per_s"]) / float(start["members"])
             out += (f"\nIf all {MEMBERS:,} processes started at once, the "
                     f"busiest second would have about {peak * MEMBERS:,.0f} "
-                    "calls, of 2,000 allowed (`start_calls` peak_per_s, "
+                    "calls, above the 2,000 allowed (`start_calls` peak_per_s, "
                     f"{float(start['peak_per_s']):.0f} at {start['members']} "
-                    "members, scaled by the number of members). The platform "
-                    "then refuses some reads; what a process does then is not "
-                    "measured.\n")
+                    "members, scaled by the number of members). What happens "
+                    "at a platform that is over its limit is not measured."
+                    "\n")
         out += ("\nThe time in which the flows re-open depends on the "
                 "clients' retransmissions, which are not measured. A host "
                 "holds 1,024 packets at once and refuses more (held_full).\n\n")
