A flow with a session stays when a late copy is passed on

Cause: a late read under an ended binding released the flow of the session that had answered only reads so far.

--- a/packages/core/src/requests/broker_client.cpp
+++ b/packages/core/src/requests/broker_client.cpp
@@ -161,9 +161,7 @@
 
 void request_broker::impl::pass_to_bound(process_id host, const flow_key& flow,
                                          const coap_message& request) {
-    const session* present = sessions_.find(flow);
-    const bool established =
-        present && (present->jobs > 0 || present->newest_binding_s > 0);
+    const bool established = sessions_.find(flow) != nullptr;
     actions_.emplace_back(pass_on{host, flow, serialise(request), established});
 }
 
