Void refused permits and refresh the answers of a long claim

Cause: a late copy of a query renewed the permit of a placement that its host had refused, and a late copy of the placement then opened a second owner. Claims that wait for seconds also acted on old answers and did not ask hosts that had joined meanwhile.

A refused permit is void from then on. A claim whose answers are older than the permits, or that did not ask all present hosts, asks again first.

--- a/packages/core/src/flows/flow_claims.cpp
+++ b/packages/core/src/flows/flow_claims.cpp
@@ -52,23 +52,34 @@
     conclude_if_answered(started, now);
 }
 
+// Adds the cover and the ranked hosts to those asked, and returns how many
+// are new.
+std::size_t flow_owner::impl::ask_cover(const flow_key& flow, claim& it) const {
+    it.hosts_digest = cover_.hosts_digest();
+    if (!options_.enabled.query_owners)
+        return 0;
+    auto peers = cover_.cover(routing::slot_of(flow));
+    for (const auto& ranked : it.ranked)
+        if (ranked.id != options_.self && !is_down(ranked.id))
+            peers.push_back(ranked);
+    const std::size_t n = it.asked.size();
+    for (const auto& peer : peers)
+        if (std::ranges::none_of(it.asked, [&](const auto& entry) {
+                return entry.address.id == peer.id;
+            }))
+            it.asked.push_back({peer, std::nullopt, false});
+    return it.asked.size() - n;
+}
+
 void flow_owner::impl::start_claim(const wire::packet& first, time_point now) {
     const slot_index slot = routing::slot_of(first.flow);
     claim it;
     it.id = ++last_claim_;
     it.started = now;
+    it.round_started = now;
     it.score = routing::score(slot, options_.self, weight_);
     it.ranked = live(first.candidates);
-    if (options_.enabled.query_owners) {
-        auto peers = cover_.cover(slot);
-        for (const auto& ranked : it.ranked)
-            if (ranked.id != options_.self && !is_down(ranked.id) &&
-                std::ranges::find(peers, ranked.id, &wire::candidate::id) ==
-                    peers.end())
-                peers.push_back(ranked);
-        for (const auto& peer : peers)
-            it.asked.push_back({peer, std::nullopt, false});
-    }
+    ask_cover(first.flow, it);
     send_queries(first.flow, it, now);
     claims_.emplace(first.flow, std::move(it));
 }
@@ -301,9 +312,36 @@
     return out;
 }
 
+// Hosts that joined while the claim waited do not know of it and may have
+// opened the flow, and permits expire.
+bool flow_owner::impl::is_outdated(const flow_key& flow, claim& it,
+                                   time_point now) const {
+    if (it.hosts_digest != cover_.hosts_digest() && ask_cover(flow, it) > 0)
+        return true;
+    return now - it.round_started >
+           options_.query_timeout *
+               (static_cast<int>(options_.query_retries) + permit_margin);
+}
+
+void flow_owner::impl::ask_again(const flow_key& flow, claim& it,
+                                 time_point now) {
+    std::erase_if(it.asked,
+                  [&](const auto& peer) { return is_down(peer.address.id); });
+    for (auto& peer : it.asked)
+        peer.answer.reset();
+    it.tries = 0;
+    it.round_started = now;
+    send_queries(flow, it, now);
+}
+
 // Chooses between the first two eligible hosts, or if there is none, between
 // the first two that do not drain, and then between the first two.
 void flow_owner::impl::place(claim_iterator it, time_point now) {
+    if (is_outdated(it->first, it->second, now)) {
+        ask_again(it->first, it->second, now);
+        if (!it->second.asked.empty())
+            return;
+    }
     auto all = placements(it->second, routing::slot_of(it->first), now);
     std::vector<placement> eligible;
     std::ranges::copy_if(all, std::back_inserter(eligible),
@@ -367,11 +405,23 @@
             !claims_.contains(message.flow))
             open(message.flow, {}, now);
         else
-            reply.status = wire::ownership::refuses;
+            refuse_place(message.flow, *body, reply);
     }
     send_reply(message, reply);
 }
 
+// The claimant opens the flow elsewhere from now on, so the permit must not
+// come to life again through late copies of the query and the place.
+void flow_owner::impl::refuse_place(const flow_key& flow,
+                                    const wire::place_body& body,
+                                    wire::query_reply_body& reply) {
+    reply.status = wire::ownership::refuses;
+    redirect* known = redirects_.find(flow);
+    if (known != nullptr && known->claim == body.claim &&
+        known->permit == body.permit)
+        known->permit = 0;
+}
+
 void flow_owner::impl::on_placed(claim_iterator it,
                                  const wire::query_reply_body& body,
                                  time_point now) {
--- a/packages/core/src/flows/flow_owner_impl.hpp
+++ b/packages/core/src/flows/flow_owner_impl.hpp
@@ -84,6 +84,8 @@
         // packet, without those believed down.
         wire::candidate_list ranked;
         std::vector<asked_peer> asked;
+        // Of the hosts whose cover is in `asked`.
+        std::uint64_t hosts_digest = 0;
         // Index into `asked` while the flow is being placed there.
         std::optional<std::size_t> placing;
         bool is_floor = false;
@@ -91,6 +93,8 @@
         std::uint32_t tries = 0;
         time_point deadline;
         time_point started;
+        // Answers are no older than this.
+        time_point round_started;
         // Only past the first tries; doubles up to a limit.
         duration repeat_interval{0};
         time_point next_repeat;
@@ -129,6 +133,7 @@
 
     // Claims (flow_claims.cpp).
     void hold(wire::packet message, time_point now);
+    std::size_t ask_cover(const flow_key& flow, claim& it) const;
     void start_claim(const wire::packet& first, time_point now);
     void send_queries(const flow_key& flow, claim& it, time_point now);
     void on_query(const wire::packet& message, time_point now);
@@ -142,7 +147,11 @@
                           const asked_peer& peer, time_point now) const;
     void wait_for_owner(const flow_key& flow, claim& it, time_point now);
     void conclude_if_answered(claim_iterator it, time_point now);
+    bool is_outdated(const flow_key& flow, claim& it, time_point now) const;
+    void ask_again(const flow_key& flow, claim& it, time_point now);
     void place(claim_iterator it, time_point now);
+    void refuse_place(const flow_key& flow, const wire::place_body& body,
+                      wire::query_reply_body& reply);
     void place_at(claim_iterator it, const placement& chosen, time_point now);
     std::vector<placement> placements(const claim& it, slot_index slot,
                                       time_point now) const;
--- a/packages/testing/src/emulator/flow_property_test.cpp
+++ b/packages/testing/src/emulator/flow_property_test.cpp
@@ -305,6 +305,7 @@
         CPPUNIT_ASSERT(rc::check([] {
             const auto seed = *rc::gen::arbitrary<std::uint64_t>();
             const auto steps = draw_steps();
+            RC_LOG() << "seed=" << seed << " steps=";
             for (const auto& step : steps)
                 RC_LOG() << int(step.kind) << ':' << step.pick << ' ';
             const outcome it = run(lossy(seed), steps);
