--- /dev/null
+++ b/scripts/examples.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs every example; fails if one does not exit with 0.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+dir="${BUILD_DIR:-build}"
+for main in examples/*/main.cpp; do
+  name="$(basename "$(dirname "$main")")"
+  arguments=()
+  case "$name" in
+  records | config_sync) arguments=(examples/records/consulta-sul) ;;
+  esac
+  echo "example $name"
+  "$dir/example_$name" "${arguments[@]}"
+done
