--- a/packages/arbutusd/include/arbutusport/daemon/process_core.hpp
+++ b/packages/arbutusd/include/arbutusport/daemon/process_core.hpp
@@ -15,6 +15,7 @@
 #include <arbutusport/telemetry/slo_burn.hpp>
 #include <arbutusport/telemetry/status.hpp>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -103,6 +104,8 @@
     // The last refusal since a configuration was adopted. Loop thread only.
     std::optional<telemetry::refused_generation> refused_;
     time_point next_second_;
+    // Set each second by the loop thread; the platform client's threads ask.
+    std::atomic<bool> is_reader_ = false;
 
     event_loop loop_;
     std::optional<adapters::control_server> control_server_;
--- a/packages/arbutusd/src/daemon/process_core.cpp
+++ b/packages/arbutusd/src/daemon/process_core.cpp
@@ -45,7 +45,9 @@
     control_client_ = std::make_unique<adapters::control_client>();
     platform_ = std::make_unique<adapters::platform_client>(
         adapters::platform_options{.address = settings_.platform,
-                                   .data_centre = settings_.data_centre},
+                                   .data_centre = settings_.data_centre,
+                                   .reads_instances =
+                                       [this] { return is_reader_.load(); }},
         platform_callbacks());
     loop_.start(tick_interval, [this] { tick(); });
     log_event(severity::info, "started")
@@ -75,6 +77,7 @@
 }
 
 void process_core::each_second(time_point now) {
+    is_reader_ = hooks_.control->is_reader(now);
     if (hooks_.on_second)
         hooks_.on_second(now);
     auto status = make_status(now);
--- a/packages/core/include/arbutusport/membership/membership.hpp
+++ b/packages/core/include/arbutusport/membership/membership.hpp
@@ -82,6 +82,9 @@
     /// @brief True once after a pause was noticed by on_tick.
     bool take_resumed();
 
+    /// @brief True once this process leaves: by leave(), by the platform's
+    /// list as read by any member, or because a later process has its name.
+    bool has_left() const;
     bool is_down(process_id id) const;
     bool is_leaving(process_id id) const;
     member_state state(process_id id) const;
--- a/packages/core/src/membership/member_table.cpp
+++ b/packages/core/src/membership/member_table.cpp
@@ -222,6 +222,10 @@
 bool member_table::is_down(process_id id) const {
     return impl_->state(id) == member_state::down;
 }
+bool member_table::has_left() const {
+    return impl_->has_left();
+}
+
 bool member_table::is_leaving(process_id id) const {
     return impl_->state(id) == member_state::leaving;
 }
--- a/packages/core/src/membership/member_table_impl.hpp
+++ b/packages/core/src/membership/member_table_impl.hpp
@@ -42,6 +42,7 @@
     }
     void on_listed_leaving(process_id id, time_point now);
     void leave();
+    bool has_left() const { return own_.state == member_state::leaving; }
 
     bool take_resumed() { return std::exchange(resumed_, false); }
     member_state state(process_id id) const {
--- a/packages/core/src/node/host_node.cpp
+++ b/packages/core/src/node/host_node.cpp
@@ -93,6 +93,8 @@
     now_ = now;
     // Control first: after a pause, claims are void before they are acted on.
     outputs out = control_.on_tick(now);
+    if (!draining_ && control_.members().has_left())
+        append(drain(now), out);
     append(convert(flows_.on_tick(now), now), out);
     append(convert(broker_.on_tick(now), now), out);
     return out;
--- a/packages/runtime/include/arbutusport/adapters/platform_client.hpp
+++ b/packages/runtime/include/arbutusport/adapters/platform_client.hpp
@@ -38,6 +38,10 @@
     duration instances_interval = std::chrono::seconds(10);
     /// Added to the wait of a watch; then the platform counts as down.
     duration response_grace = std::chrono::seconds(5);
+    /// Answers whether this process reads the list; thread-safe. Unset: it
+    /// does. If all 5,460 processes of the target read the whole list, it
+    /// takes most of their 27 KB/s of control traffic.
+    std::function<bool()> reads_instances;
 };
 
 /// @brief Results arrive on the client's threads; each request has exactly
--- a/packages/runtime/src/adapters/platform_client.cpp
+++ b/packages/runtime/src/adapters/platform_client.cpp
@@ -166,7 +166,8 @@
         std::unique_lock lock(mutex);
         while (!stopping) {
             lock.unlock();
-            list_once();
+            if (!options.reads_instances || options.reads_instances())
+                list_once();
             lock.lock();
             wake.wait_for(lock, options.instances_interval,
                           [&] { return stopping; });
--- a/packages/testing/src/emulator/scenario_runner.cpp
+++ b/packages/testing/src/emulator/scenario_runner.cpp
@@ -246,6 +246,11 @@
         out["reverted"] = static_cast<double>(n.reverted);
         out["refused"] = static_cast<double>(n.refused);
         const generation newest = store_.head("").gen;
+        double draining = 0;
+        for (const auto& it : fleet_.processes())
+            if (it->host && it->host->draining())
+                ++draining;
+        out["draining"] = draining;
         double behind = 0;
         for (const auto& it : fleet_.processes())
             if (it->running() && it->in_force != newest)
--- a/packages/testing/src/emulator/virtual_fleet.cpp
+++ b/packages/testing/src/emulator/virtual_fleet.cpp
@@ -199,6 +199,9 @@
         list.push_back({it->id, leaving_.contains(it->name)});
     for (auto& it : processes_)
         input(*it, [this, &at = *it, list] {
+            // Only readers read the list; the others hear from them.
+            if (!at.control_plane().is_reader(clock_.now()))
+                return;
             if (at.host)
                 perform(at, at.host->on_instances(list, clock_.now()));
             else
