Announce for as many tries before a silent peer stops blocking

Cause, by a trace of flows_survive_joint_changes: a new host paused for 2 s right after its first announcements. The time limit for peers to take them ran out during the pause, and the host opened a flow before it had read that a host outside the configuration owned it.

The limit now counts announcements instead of time, so that the pause of this process does not count. A claim asks peers that became known while it waited.

--- a/packages/core/src/flows/flow_claims.cpp
+++ b/packages/core/src/flows/flow_claims.cpp
@@ -55,7 +55,6 @@
 // Adds the cover and the ranked hosts to those asked, and returns how many
 // are new.
 std::size_t flow_owner::impl::ask_cover(const flow_key& flow, claim& it) const {
-    it.hosts_digest = cover_.hosts_digest();
     if (!options_.enabled.query_owners)
         return 0;
     auto peers = cover_.cover(routing::slot_of(flow));
@@ -312,11 +311,11 @@
     return out;
 }
 
-// Hosts that joined while the claim waited do not know of it and may have
-// opened the flow, and permits expire.
+// Peers that became known while the claim waited do not know of it and may
+// own the flow, and permits expire.
 bool flow_owner::impl::is_outdated(const flow_key& flow, claim& it,
                                    time_point now) const {
-    if (it.hosts_digest != cover_.hosts_digest() && ask_cover(flow, it) > 0)
+    if (ask_cover(flow, it) > 0)
         return true;
     return now - it.round_started >
            options_.query_timeout *
--- a/packages/core/src/flows/flow_owner_impl.hpp
+++ b/packages/core/src/flows/flow_owner_impl.hpp
@@ -84,8 +84,6 @@
         // packet, without those believed down.
         wire::candidate_list ranked;
         std::vector<asked_peer> asked;
-        // Of the hosts whose cover is in `asked`.
-        std::uint64_t hosts_digest = 0;
         // Index into `asked` while the flow is being placed there.
         std::optional<std::size_t> placing;
         bool is_floor = false;
--- a/packages/core/src/flows/flow_owner_test.cpp
+++ b/packages/core/src/flows/flow_owner_test.cpp
@@ -119,7 +119,8 @@
         options.service = service;
         owner = std::make_unique<flow_owner>(options);
         owner->set_snapshot(snapshot, start - seconds(60));
-        owner->on_tick(start);
+        for (int ms = 0; ms <= 1000; ms += 40)
+            owner->on_tick(start - seconds(60) + milliseconds(ms));
         flow = flow_with_home(*snapshot, process_id(1));
         const auto digest = routing::hosts_digest(snapshot->services[0]);
         const auto body = wire::encode(
--- a/packages/core/src/flows/peer_cover.cpp
+++ b/packages/core/src/flows/peer_cover.cpp
@@ -15,6 +15,9 @@
 // the membership says so, so that it does not block new flows. Covers a
 // round trip between data centres with several losses.
 constexpr duration announcement_timeout = milliseconds(500);
+// Counted in announcements, so that a pause of this process is not taken for
+// the silence of its peers.
+constexpr auto announcement_tries = announcement_timeout / announcement_retry;
 constexpr duration late_announcement_retry = milliseconds(1000);
 // Peers that sent a bitmap but are not in this process's configuration.
 constexpr std::size_t max_unconfigured = 1024;
@@ -46,7 +49,7 @@
 
 void peer_cover::announce(generation gen, time_point now) {
     announced_gen_ = gen;
-    announced_at_ = now;
+    announcements_ = 0;
     next_announcement_ = now;
     for (auto& [id, it] : peers_)
         it.has_taken = false;
@@ -109,7 +112,8 @@
     std::vector<wire::candidate> out;
     if (!current_ || now < next_announcement_)
         return out;
-    const bool late = now - announced_at_ >= announcement_timeout;
+    const bool late = announcements_ >= announcement_tries;
+    announcements_ += late ? 0 : 1;
     next_announcement_ =
         now + (late ? late_announcement_retry : announcement_retry);
     if (late)
--- a/packages/core/src/flows/peer_cover.hpp
+++ b/packages/core/src/flows/peer_cover.hpp
@@ -117,7 +117,7 @@
     // 0 before any hosts were adopted.
     std::uint64_t digest_ = 0;
     generation announced_gen_;
-    time_point announced_at_;
+    int announcements_ = 0;
     time_point next_announcement_;
 };
 
