--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -489,7 +489,9 @@
         return ("## What was extrapolated\n\n"
                 f"The target has {MEMBERS:,} members. These figures were "
                 "taken as constant beyond the greatest measured fleet; the "
-                "values by size show how far that holds.\n\n"
+                "values by size show how far that holds. Traffic in the first "
+                "minute of a partition grows with the fleet, so it will be "
+                "above the value used here.\n\n"
                 + table(["figure", "by members", "beyond the measured size"],
                         rows)
                 + f"\nFigures with services={SERVICES} were measured at the "
