--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -11,72 +11,17 @@
 import pathlib
 import sys
 
+from capacity_figures import Figures, number, table, total
+from capacity_target import (
+    BYTES_LIMIT, CALLS_LIMIT, CHANGES_A_DAY, CPU_LIMIT, DATA_CENTRES, DAY,
+    ENTRIES, FAILURES_A_DAY, FLOWS, HOSTS, HOSTS_A_SERVICE, MEMBERS,
+    MEMORY_LIMIT, NEW_FLOWS, READERS_A_DATA_CENTRE, REGIONS, RESTARTS_A_DAY,
+    ROUNDS, SERVICES, TICKS, WATCH_S)
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SOURCE = ROOT / "docs/measurements/bench.txt"
 PAGE = ROOT / "docs/CAPACITY.md"
 
-# The target, from section 1.5 of docs/design.md.
-ENTRIES, HOSTS, SERVICES = 460, 5000, 360
-FLOWS, NEW_FLOWS = 7_000_000, 51_000
-DATA_CENTRES, REGIONS = 8, 3
-CHANGES_A_DAY = 930
-FAILURES_A_DAY, RESTARTS_A_DAY = 6, 610
-CPU_LIMIT, MEMORY_LIMIT, BYTES_LIMIT = 3.2, 128e6, 27e3
-CALLS_LIMIT = 2000
-
-MEMBERS = ENTRIES + HOSTS
-HOSTS_A_SERVICE = HOSTS / SERVICES
-DAY = 86_400
-# Constants of the code: ticks and rounds a second, readers, a watch's wait.
-TICKS, ROUNDS, READERS_A_DATA_CENTRE, WATCH_S = 100, 1, 3, 30
-
-
-class Figures:
-    """Measured figures, looked up by name and by the sizes beside them."""
-
-    def __init__(self, text):
-        self.rows = []
-        self.runs = []
-        for line in text.splitlines():
-            if line.startswith("# "):
-                self.runs.append(line[2:])
-            elif line.startswith("figure="):
-                self.rows.append(dict(part.split("=", 1)
-                                      for part in line.split() if "=" in part))
-
-    def all(self, name, **sizes):
-        return [row for row in self.rows if row["figure"] == name
-                and all(row.get(k) == str(v) for k, v in sizes.items())]
-
-    def value(self, name, **sizes):
-        """The figure's value; None if it was not measured."""
-        found = self.all(name, **sizes)
-        return float(found[-1]["value"]) if found else None
-
-    def largest(self, name, key, **sizes):
-        """The row measured at the greatest size."""
-        rows = self.all(name, **sizes)
-        return max(rows, key=lambda row: float(row[key])) if rows else None
-
-
-def number(value):
-    if value is None:
-        return "not measured"
-    if abs(value) >= 100:
-        return f"{value:,.0f}"
-    return f"{value:.3g}"
-
-
-def table(head, rows):
-    out = ["| " + " | ".join(head) + " |", "|" + " --- |" * len(head)]
-    out += ["| " + " | ".join(str(cell) for cell in row) + " |" for row in rows]
-    return "\n".join(out) + "\n"
-
-
-def total(rows):
-    """The sum of (label, value, ...) rows; what was not measured is left out."""
-    return sum(row[1] for row in rows if row[1] is not None)
-
 
 class Page:
     def __init__(self, figures):
@@ -488,7 +433,9 @@
         return ("## What was extrapolated\n\n"
                 f"The target has {MEMBERS:,} members. These figures were "
                 "taken as constant beyond the greatest measured fleet; the "
-                "values by size show how far that holds.\n\n"
+                "values by size show how far that holds. Traffic in the first "
+                "minute of a partition grows with the fleet, so it will be "
+                "above the value used here.\n\n"
                 + table(["figure", "by members", "beyond the measured size"],
                         rows)
                 + f"\nFigures with services={SERVICES} were measured at the "
