Keep a silent peer's bitmap when it cannot hold the claimed slot

Cause, by a trace: a paused host outside the configuration did not answer a claim of a slot that it could not hold, and was forgotten together with the slots that it did hold. The next claim of such a slot did not ask it.

--- a/packages/core/src/flows/flow_claims.cpp
+++ b/packages/core/src/flows/flow_claims.cpp
@@ -244,8 +244,10 @@
             return may_still_answer(it->first, own, peer, now);
         }))
         return wait_for_owner(it->first, own, now);
+    // A peer that cannot hold this slot may hold others, and is not forgotten
+    // for its silence here.
     for (const auto& peer : own.asked)
-        if (!peer.answer)
+        if (!peer.answer && now - own.started >= unconfigured_wait)
             cover_.on_silent(peer.address.id);
     place(it, now);
 }
