--- a/packages/testing/include/arbutusport/emulator/scenario_runner.hpp
+++ b/packages/testing/include/arbutusport/emulator/scenario_runner.hpp
@@ -4,7 +4,9 @@
 #include <arbutusport/emulator/history_checker.hpp>
 #include <arbutusport/emulator/scenario.hpp>
 
+#include <iosfwd>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,10 +27,17 @@
     bool passed() const { return unmet.empty(); }
 };
 
+/// @brief Records the first run of one process (see trace.hpp).
+struct recording {
+    std::string process;
+    std::ostream& to;
+};
+
 /// @brief Throws std::runtime_error for a name that nothing matches or a
 /// figure that does not exist. `records_root` is examples/records.
 scenario_result run_scenario(const scenario& plan,
-                             const std::string& records_root);
+                             const std::string& records_root,
+                             const std::optional<recording>& record = {});
 
 /// @brief "line 12: expect double_runs == 0, found 3".
 std::string to_string(const unmet_expectation& it);
--- a/packages/testing/include/arbutusport/emulator/virtual_fleet.hpp
+++ b/packages/testing/include/arbutusport/emulator/virtual_fleet.hpp
@@ -3,11 +3,10 @@
 #pragma once
 
 #include <arbutusport/emulator/record_store.hpp>
+#include <arbutusport/emulator/trace.hpp>
 #include <arbutusport/emulator/upstream_server.hpp>
 #include <arbutusport/emulator/virtual_links.hpp>
 #include <arbutusport/emulator/virtual_time.hpp>
-#include <arbutusport/node/entry_node.hpp>
-#include <arbutusport/node/host_node.hpp>
 #include <arbutusport/wire/make_keyring.hpp>
 
 #include <functional>
@@ -25,6 +24,9 @@
     std::size_t large_text = 64 * 1024;
     /// Called with each datagram for a client.
     std::function<void(const flow_key&, const bytes&)> to_client;
+    /// The first run of this process is recorded; empty for none.
+    std::string record_process;
+    std::ostream* record_to = nullptr;
 };
 
 /// @brief One emulated instance.
@@ -78,6 +80,8 @@
     void set_upstream(const std::string& pattern, const std::string& setting);
     /// @brief The platform's list says from now on that these leave.
     void list_leaving(const std::string& pattern);
+    /// @brief Ends the recording, if any.
+    void finish_recording();
     /// @brief Sends random, altered and wrongly signed packets to everyone.
     void forge();
 
@@ -105,6 +109,10 @@
     void input(process& it, std::function<void()> body);
     void tick(process& it, std::uint64_t run);
     void tick_upstream(process& it);
+    void start_recording(const process& it, const trace_header& header);
+    /// Passes an input to the process and records it.
+    node_result feed(process& to, const node_input& it);
+    void feed_and_perform(process& to, const node_input& it);
     void perform(process& from, node::outputs actions);
     void send_packet(process& from, const node::send_packet& it);
     void receive_packet(process& to, const bytes& data, const endpoint& from);
@@ -126,6 +134,7 @@
     std::set<std::string> leaving_;
     history ended_upstreams_;
     fleet_counts counts_;
+    std::optional<trace_writer> recorder_;
 };
 
 } // namespace arbutusport::emulator
--- a/packages/testing/src/emulator/scenario_runner.cpp
+++ b/packages/testing/src/emulator/scenario_runner.cpp
@@ -25,12 +25,15 @@
 constexpr auto warm_up = seconds(8);
 /// Longer than a client waits for an outcome.
 constexpr auto settle = seconds(35);
+/// A recording ends this long after the load, to keep it small.
+constexpr auto record_after_load = seconds(5);
 /// Stands for an effect that lasts to the end.
 constexpr auto forever = std::chrono::hours(24);
 
 class running_scenario {
 public:
-    running_scenario(const scenario& plan, const std::string& records_root)
+    running_scenario(const scenario& plan, const std::string& records_root,
+                     const std::optional<recording>& record)
         : plan_(plan), store_(records_root + "/" + plan.records),
           links_(plan.links, plan.seed, clock_),
           clients_(plan.seed + 1, clock_,
@@ -41,7 +44,9 @@
                   .to_client =
                       [this](const flow_key& flow, const bytes& datagram) {
                           clients_.on_datagram(flow, datagram);
-                      }},
+                      },
+                  .record_process = record ? record->process : "",
+                  .record_to = record ? &record->to : nullptr},
                  store_, links_, clock_) {
         fleet_.note_published(store_.head("").gen);
     }
@@ -58,6 +63,8 @@
             measure_balance();
             clients_.stop();
         });
+        clock_.at(end + record_after_load,
+                  [this] { fleet_.finish_recording(); });
         clock_.run_until(end + settle);
         return judge();
     }
@@ -302,8 +309,9 @@
 } // namespace
 
 scenario_result run_scenario(const scenario& plan,
-                             const std::string& records_root) {
-    return running_scenario(plan, records_root).run();
+                             const std::string& records_root,
+                             const std::optional<recording>& record) {
+    return running_scenario(plan, records_root, record).run();
 }
 
 std::string to_string(const unmet_expectation& it) {
--- a/packages/testing/src/emulator/virtual_fleet.cpp
+++ b/packages/testing/src/emulator/virtual_fleet.cpp
@@ -34,6 +34,9 @@
     add_processes();
     for (auto& it : processes_)
         start(*it);
+    if (options_.record_to && !recorder_)
+        throw std::runtime_error("no process is named " +
+                                 options_.record_process);
     clock_.after(list_interval, [this] { send_list(); });
 }
 
@@ -79,25 +82,29 @@
                           it.starts);
     const auto seed = hash_combine(options_.seed, it.id.value() + it.starts);
     if (it.service.empty()) {
-        it.entry = std::make_unique<node::entry_node>(
-            node::entry_node_options{.self = it.id,
-                                     .run = run,
-                                     .data_centre = it.data_centre,
-                                     .seeds = seeds,
-                                     .seed = seed,
-                                     .router = {.packets = it.packets}});
+        const node::entry_node_options options{
+            .self = it.id,
+            .run = run,
+            .data_centre = it.data_centre,
+            .seeds = seeds,
+            .seed = seed,
+            .router = {.packets = it.packets}};
+        it.entry = std::make_unique<node::entry_node>(options);
+        start_recording(it, {.process = it.name, .entry = options});
         fabric_entries_.insert(it.name);
     } else {
         requests::broker_options requests;
         requests.binding_key.fill(static_cast<std::uint8_t>(seed));
-        it.host = std::make_unique<node::host_node>(
-            node::host_node_options{.self = it.id,
-                                    .run = run,
-                                    .service = service_id_of(it.service),
-                                    .data_centre = it.data_centre,
-                                    .seeds = seeds,
-                                    .seed = seed,
-                                    .requests = requests});
+        const node::host_node_options options{.self = it.id,
+                                              .run = run,
+                                              .service =
+                                                  service_id_of(it.service),
+                                              .data_centre = it.data_centre,
+                                              .seeds = seeds,
+                                              .seed = seed,
+                                              .requests = requests};
+        it.host = std::make_unique<node::host_node>(options);
+        start_recording(it, {.process = it.name, .host = options});
         if (!it.upstream) {
             it.upstream = std::make_unique<upstream_server>(
                 upstream_options{.service = it.service,
@@ -111,6 +118,31 @@
     clock_.after(tick_interval, [this, &it, n = it.starts] { tick(it, n); });
 }
 
+void virtual_fleet::start_recording(const process& it,
+                                    const trace_header& header) {
+    if (options_.record_to && it.name == options_.record_process &&
+        it.starts == 1)
+        recorder_.emplace(header, *options_.record_to);
+}
+
+void virtual_fleet::finish_recording() {
+    if (recorder_)
+        recorder_->finish();
+    recorder_.reset();
+}
+
+node_result virtual_fleet::feed(process& to, const node_input& it) {
+    auto out = to.entry ? emulator::feed(*to.entry, it, clock_.now())
+                        : emulator::feed(*to.host, it, clock_.now());
+    if (recorder_ && to.name == options_.record_process && to.starts == 1)
+        recorder_->add(it, out, clock_.now());
+    return out;
+}
+
+void virtual_fleet::feed_and_perform(process& to, const node_input& it) {
+    perform(to, feed(to, it).actions);
+}
+
 std::vector<virtual_process*>
 virtual_fleet::matching(const std::string& pattern) {
     std::vector<process*> out;
@@ -192,10 +224,7 @@
         list.push_back({it->id, leaving_.contains(it->name)});
     for (auto& it : processes_)
         input(*it, [this, &at = *it, list] {
-            if (at.host)
-                perform(at, at.host->on_instances(list, clock_.now()));
-            else
-                at.control_plane().on_instances(list, clock_.now());
+            feed_and_perform(at, instances_input{list});
         });
     clock_.after(list_interval, [this] { send_list(); });
 }
@@ -222,9 +251,7 @@
     process* to = matching(name).front();
     links_.datagram({"client", ""}, to->end(), [this, to, flow, datagram] {
         input(*to, [this, to, flow, datagram] {
-            node::outputs out;
-            out.push_back(to->entry->on_client(flow, datagram, clock_.now()));
-            perform(*to, std::move(out));
+            feed_and_perform(*to, client_input{flow, datagram});
         });
     });
 }
@@ -242,8 +269,7 @@
     if (it.starts != run || !it.running())
         return;
     if (it.frozen_until <= clock_.now())
-        perform(it, it.entry ? it.entry->on_tick(clock_.now())
-                             : it.host->on_tick(clock_.now()));
+        feed_and_perform(it, tick_input{});
     clock_.after(tick_interval, [this, &it, run] { tick(it, run); });
 }
 
--- a/packages/testing/src/emulator/virtual_fleet_io.cpp
+++ b/packages/testing/src/emulator/virtual_fleet_io.cpp
@@ -81,10 +81,7 @@
     auto actions = handle_failure(
         [&]() -> result<node::outputs> {
             BOOST_LEAF_AUTO(message, wire::decode_packet(data, *to.keys));
-            return to.entry ? to.entry->on_packet(std::move(message), from,
-                                                  clock_.now())
-                            : to.host->on_packet(std::move(message), from,
-                                                 clock_.now());
+            return feed(to, packet_input{from, std::move(message)}).actions;
         },
         [](const failure& it) {
             return node::outputs{
@@ -101,8 +98,7 @@
         if (std::exchange(*done, true) || from.starts != run)
             return;
         input(from, [this, &from, peer] {
-            perform(from,
-                    from.control_plane().on_sync_error(peer, clock_.now()));
+            feed_and_perform(from, sync_error_input{peer});
         });
     };
     if (!to || !to->running()) {
@@ -115,23 +111,20 @@
         if (std::exchange(*done, true) || from.starts != run)
             return;
         input(from, [this, &from, peer, reply] {
-            perform(from, from.control_plane().on_sync_reply(peer, reply,
-                                                             clock_.now()));
+            feed_and_perform(from, sync_reply_input{peer, reply});
         });
     };
-    links_.stream(
-        from.end(), to->end(),
-        [this, &from, to, request = it.request, reply_arrives] {
-            input(*to, [this, &from, to, request, reply_arrives] {
-                auto answer =
-                    to->control_plane().on_sync_request(request, clock_.now());
-                links_.stream(to->end(), from.end(),
-                              [reply = std::move(answer.reply), reply_arrives] {
-                                  reply_arrives(reply);
-                              });
-                perform(*to, std::move(answer.actions));
-            });
-        });
+    links_.stream(from.end(), to->end(),
+                  [this, &from, to, request = it.request, reply_arrives] {
+                      input(*to, [this, &from, to, request, reply_arrives] {
+                          auto answer = feed(*to, sync_request_input{request});
+                          links_.stream(to->end(), from.end(),
+                                        [reply = *answer.reply, reply_arrives] {
+                                            reply_arrives(reply);
+                                        });
+                          perform(*to, std::move(answer.actions));
+                      });
+                  });
 }
 
 void virtual_fleet::watch(process& from, const node::watch_head& it,
@@ -141,8 +134,7 @@
             return;
         if (store_.mode(from.data_centre) == store_mode::down) {
             input(from, [this, &from] {
-                perform(from,
-                        from.control_plane().on_platform_error(clock_.now()));
+                feed_and_perform(from, platform_error_input{});
             });
             return;
         }
@@ -155,7 +147,7 @@
             return;
         }
         input(from, [this, &from, head] {
-            perform(from, from.control_plane().on_head(head, clock_.now()));
+            feed_and_perform(from, head_input{head});
         });
     });
 }
@@ -166,11 +158,11 @@
             return;
         const bool down = store_.mode(from.data_centre) == store_mode::down;
         input(from, [this, &from, it, down] {
-            auto& control = from.control_plane();
-            perform(from, down ? control.on_platform_error(clock_.now())
-                               : control.on_records(
-                                     store_.read(it.keys, from.data_centre),
-                                     clock_.now()));
+            if (down)
+                feed_and_perform(from, platform_error_input{});
+            else
+                feed_and_perform(from, records_input{store_.read(
+                                           it.keys, from.data_centre)});
         });
     });
 }
@@ -188,7 +180,7 @@
     for (const datagram& it : sent)
         input(at, [this, &at, data = it.data] {
             if (at.host)
-                perform(at, at.host->on_upstream(data, clock_.now()));
+                feed_and_perform(at, upstream_input{data});
         });
 }
 
--- a/packages/testing/src/tools/scenario_main.cpp
+++ b/packages/testing/src/tools/scenario_main.cpp
@@ -23,6 +23,8 @@
     std::vector<std::string> files;
     std::string records = "examples/records";
     std::string history;
+    std::string record;
+    std::string process;
     std::optional<std::uint64_t> seed;
     bool quiet = false;
 };
@@ -43,7 +45,15 @@
     scenario plan = read_scenario(path);
     if (args.seed)
         plan.seed = *args.seed;
-    const auto outcome = run_scenario(plan, args.records);
+    std::ofstream trace;
+    std::optional<recording> record;
+    if (!args.record.empty()) {
+        trace.open(args.record, std::ios::binary);
+        if (!trace)
+            throw std::runtime_error(args.record + ": cannot be written");
+        record.emplace(recording{args.process, trace});
+    }
+    const auto outcome = run_scenario(plan, args.records, record);
     std::cout << (outcome.passed() ? "passed " : "FAILED ") << path
               << " seed=" << plan.seed << '\n';
     if (!args.quiet)
@@ -74,6 +84,9 @@
         "records", po::value(&args.records), "root of the record directories")(
         "seed", po::value(&seed), "in place of the file's seed")(
         "history", po::value(&args.history), "write the history to a file")(
+        "record", po::value(&args.record),
+        "write a trace of the process to a file")(
+        "process", po::value(&args.process), "the process to record")(
         "quiet", po::bool_switch(&args.quiet), "print unmet expectations only");
     po::positional_options_description positional;
     positional.add("file", -1);
@@ -89,6 +102,10 @@
             std::cout << options;
             return 0;
         }
+        if (values.contains("record") != values.contains("process") ||
+            (values.contains("record") && args.files.size() != 1))
+            throw std::runtime_error(
+                "--record and --process go together, with one scenario");
         if (values.contains("seed"))
             args.seed = seed;
         bool passed = !args.files.empty();
