Authenticate sync messages between processes

Sync messages carried no tag, so anybody who could connect could announce a huge generation or incarnation. With a configuration in force, requests and replies now carry the active key's id and a keyed tag over direction and content, and each reply repeats the nonce of its request. Untagged replies are believed only from seeds and only before a configuration is in force; an untagged request is answered but teaches nothing. Revisions implausibly far ahead and incarnations more than a minute ahead of the own axis are refused.

The tests of config_sync send tagged messages now, as a peer does; their checks are the same.

--- a/packages/core/include/arbutusport/config/config_sync.hpp
+++ b/packages/core/include/arbutusport/config/config_sync.hpp
@@ -89,6 +89,16 @@
     std::vector<head_record> records;
 };
 
+/// @brief With a configuration in force, messages carry a keyed tag, and
+/// nothing is learnt from one without a genuine tag. Before that, untagged
+/// replies of the seeds are believed. An untagged request is answered with the
+/// set, because a fresh process has no keys.
+///
+/// Open: whoever reaches the control endpoint can therefore read the records,
+/// the keys among them, and whoever answers in place of a seed can mislead a
+/// fresh process. Only the network protects against both. A recorded request
+/// may be replayed, which brings nothing newer than was known. The epoch of a
+/// set, and the revision before a set is in force, are not bounded.
 class config_sync {
 public:
     explicit config_sync(sync_options options);
--- a/packages/core/src/config/config_sync.cpp
+++ b/packages/core/src/config/config_sync.cpp
@@ -132,6 +132,7 @@
     if (it->gen <= base_gen())
         return;
     peers_.follow(*it);
+    keys_ = wire::make_keyring(it->keys);
     base_digest_ = records::digest_of(it->raw);
     history_.push_back(records::make_outline(*it));
     if (history_.size() > max_history)
--- a/packages/core/src/config/config_sync_impl.hpp
+++ b/packages/core/src/config/config_sync_impl.hpp
@@ -3,10 +3,11 @@
 #pragma once
 
 #include "peer_set.hpp"
-#include "sync_message.hpp"
+#include "sync_envelope.hpp"
 
 #include <arbutusport/config/config_sync.hpp>
 #include <arbutusport/records/delta.hpp>
+#include <arbutusport/wire/make_keyring.hpp>
 
 #include <deque>
 #include <map>
@@ -64,6 +65,14 @@
 
     // Gossip.
     void round(std::size_t peers, time_point now, sync_actions& out);
+    void send(const endpoint& peer, sync_message it, time_point now,
+              sync_actions& out);
+    bytes answer_newcomer(const sync_message& it) const;
+    /// @brief True if `it` answers a request to `peer` and its sender may be
+    /// believed.
+    bool admits_reply(const endpoint& peer, const opened_sync& it);
+    bool is_seed(const endpoint& peer) const;
+    bool is_plausible(generation gen) const;
     void ask(const endpoint& peer, bool wants, time_point now,
              sync_actions& out);
     void pull(const endpoint& peer, time_point now, sync_actions& out);
@@ -103,6 +112,8 @@
     // Greatest set heard in the start-up window; null afterwards.
     records::snapshot_ptr candidate_;
     std::uint64_t base_digest_ = 0;
+    // Of base(); without keys while there is none.
+    wire::keyring_ptr keys_ = std::make_shared<const wire::keyring>();
     // Of the newest sets, so that older peers get a delta; newest last.
     std::deque<records::outline> history_;
     // Newest last. A digest of 0 stands for a set read at the platform whose
@@ -122,6 +133,8 @@
     std::set<endpoint> answered_;
     // Requests without a reply yet, by peer.
     std::map<endpoint, time_point> waiting_;
+    // Requests whose reply may still come, by nonce.
+    std::map<std::uint64_t, std::pair<endpoint, time_point>> nonces_;
     // Peers that told of a newer generation which is not here yet.
     std::map<endpoint, claim> claims_;
     std::optional<endpoint> pulling_;
--- a/packages/core/src/config/config_sync_test.cpp
+++ b/packages/core/src/config/config_sync_test.cpp
@@ -1,10 +1,11 @@
 // Guards what config_sync makes of single inputs: torn reads at the platform
 // and hostile messages.
 
-#include "sync_message.hpp"
+#include "sync_envelope.hpp"
 
 #include <arbutusport/config/config_sync.hpp>
 #include <arbutusport/records/parse.hpp>
+#include <arbutusport/wire/make_keyring.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -32,6 +33,13 @@
     return it;
 }
 
+// As a peer with the keys of make_set() sends it.
+bytes seal_request(const sync_message& it) {
+    const auto set = records::build_snapshot({1, 1}, make_set(1)).value();
+    return seal_sync(it, sync_direction::request,
+                     *wire::make_keyring(set->keys));
+}
+
 template <class Action>
 std::size_t count(const sync_actions& list) {
     std::size_t n = 0;
@@ -113,14 +121,18 @@
         auto set = make_set(2);
         set[1].json = "{}";
         const auto digest = records::digest_of(set);
-        const bytes message = encode_sync(
+        const bytes message = seal_request(
             {{1, 2}, digest, false, {{{}, {1, 2}, digest, set, {}}}, {}});
         CPPUNIT_ASSERT_EQUAL(
             std::size_t{1},
             count<refused>(it->on_request(message, now).actions));
         const auto again = it->on_request(message, now);
         CPPUNIT_ASSERT(again.actions.empty());
-        CPPUNIT_ASSERT(!decode_sync(again.reply).value().wants);
+        const auto set_1 = records::build_snapshot({1, 1}, make_set(1)).value();
+        const auto reply = open_sync(again.reply, sync_direction::reply,
+                                     *wire::make_keyring(set_1->keys))
+                               .value();
+        CPPUNIT_ASSERT(reply.is_authentic && !reply.message.wants);
         CPPUNIT_ASSERT(it->on_reply({1, 1}, message, now).empty());
         CPPUNIT_ASSERT((it->current()->gen == generation{1, 1}));
     }
@@ -134,7 +146,7 @@
                     .value();
             const auto delta = records::make_full(*set);
             it->on_request(
-                encode_sync({set->gen, delta.digest, true, delta, {}}), now);
+                seal_request({set->gen, delta.digest, true, delta, {}}), now);
         };
         send(3);
         CPPUNIT_ASSERT((it->current()->gen == generation{1, 3}));
@@ -167,7 +179,8 @@
         const auto set = records::build_snapshot({1, 2}, make_set(2)).value();
         auto delta = records::make_full(*set);
         ++delta.digest; // a damaged set must not be adopted
-        const bytes good = encode_sync({{1, 2}, delta.digest, true, delta, {}});
+        const bytes good =
+            seal_request({{1, 2}, delta.digest, true, delta, {}});
         const bool ok = rc::check([&](const bytes& noise, std::size_t at) {
             const auto it = make_started(now);
             bytes data = good;
--- a/packages/core/src/config/gossip.cpp
+++ b/packages/core/src/config/gossip.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::size_t max_pulls = 3;
+// A thousand years of changes at the target of 930 a day. A peer's set that is
+// further ahead of the set in force was not made by the platform.
+constexpr std::uint64_t max_revision_step = 340'000'000;
 
 } // namespace
 
@@ -42,7 +45,39 @@
     sync_message it = make_message();
     it.wants = wants;
     waiting_[peer] = now;
-    out.push_back(sync_with{peer, encode_sync(it)});
+    send(peer, std::move(it), now, out);
+}
+
+// Before a set is in force, seeds are asked without a tag: they may know newer
+// keys than those of a candidate that is out of date.
+void config_sync::impl::send(const endpoint& peer, sync_message it,
+                             time_point now, sync_actions& out) {
+    it.nonce = random_() | 1;
+    nonces_[it.nonce] = {peer, now};
+    const bool untagged = !current_ && is_seed(peer);
+    out.push_back(sync_with{
+        peer, untagged ? encode_sync(it)
+                       : seal_sync(it, sync_direction::request, *keys_)});
+}
+
+bool config_sync::impl::is_seed(const endpoint& peer) const {
+    return std::ranges::find(options_.seeds, peer) != options_.seeds.end();
+}
+
+bool config_sync::impl::admits_reply(const endpoint& peer,
+                                     const opened_sync& it) {
+    const auto asked = nonces_.find(it.message.nonce);
+    if (asked == nonces_.end() || asked->second.first != peer)
+        return false;
+    if (!it.is_authentic && (current_ || !is_seed(peer)))
+        return false;
+    nonces_.erase(asked);
+    return true;
+}
+
+bool config_sync::impl::is_plausible(generation gen) const {
+    return !current_ || gen.epoch != current_->gen.epoch ||
+           gen.revision <= current_->gen.revision + max_revision_step;
 }
 
 void config_sync::impl::pull(const endpoint& peer, time_point now,
@@ -60,6 +95,9 @@
             expired.push_back(peer);
     for (const endpoint& peer : expired)
         on_peer_error(peer, now, out);
+    std::erase_if(nonces_, [&](const auto& it) {
+        return now - it.second.second >= 2 * options_.sync_timeout;
+    });
 }
 
 void config_sync::impl::on_peer_error(const endpoint& peer, time_point now,
@@ -76,14 +114,13 @@
 }
 
 bool config_sync::impl::is_news(const sync_message& it) const {
-    return it.gen > base_gen() && !is_refused(it.gen, it.digest);
+    return it.gen > base_gen() && is_plausible(it.gen) &&
+           !is_refused(it.gen, it.digest);
 }
 
 void config_sync::impl::learn(const sync_message& it, time_point now,
                               sync_actions& out) {
     start(now);
-    next_direct_read_ = now + options_.direct_read_after +
-                        jitter(options_.direct_read_after / 2);
     if (options_.on_events && !it.events.empty())
         options_.on_events(it.events, now);
     if (it.delta)
@@ -92,7 +129,8 @@
 
 void config_sync::impl::apply(const records::record_delta& it, time_point now,
                               sync_actions& out) {
-    if (it.to <= base_gen() || is_refused(it.to, it.digest))
+    if (it.to <= base_gen() || !is_plausible(it.to) ||
+        is_refused(it.to, it.digest))
         return;
     auto set = handle_failure(
         [&]() -> result<std::vector<records::raw_record>> {
@@ -105,56 +143,78 @@
         build(it.to, std::move(set), now, out);
 }
 
+// The sender has no keys yet. It gets the set and changes nothing here; the
+// reply is untagged, so that it cannot pass as the reply to a tagged request.
+bytes config_sync::impl::answer_newcomer(const sync_message& it) const {
+    sync_message reply;
+    reply.gen = base_gen();
+    reply.digest = base_digest_;
+    reply.nonce = it.nonce;
+    if (it.wants && base_gen() > it.gen)
+        reply.delta = delta_from(it.gen);
+    return encode_sync(reply);
+}
+
 bytes config_sync::impl::on_request(byte_view request, time_point now,
                                     sync_actions& out) {
-    const auto it = handle_failure(
-        [&]() -> result<std::optional<sync_message>> {
-            BOOST_LEAF_AUTO(decoded, decode_sync(request));
-            return std::optional(std::move(decoded));
+    const auto opened = handle_failure(
+        [&]() -> result<std::optional<opened_sync>> {
+            BOOST_LEAF_AUTO(
+                it, open_sync(request, sync_direction::request, *keys_));
+            return std::optional(std::move(it));
         },
-        [](const failure&) { return std::optional<sync_message>(); });
-    if (!it)
+        [](const failure&) { return std::optional<opened_sync>(); });
+    if (!opened)
         return {};
-    learn(*it, now, out);
+    const sync_message& it = opened->message;
+    if (!opened->is_authentic)
+        return answer_newcomer(it);
+    learn(it, now, out);
     sync_message reply = make_message();
+    reply.nonce = it.nonce;
     // Several peers may bring the same news at once; one delta is enough.
-    if (is_news(*it) && (it->gen > expected_ || now >= expected_until_)) {
+    if (is_news(it) && (it.gen > expected_ || now >= expected_until_)) {
         reply.wants = true;
-        expected_ = it->gen;
+        expected_ = it.gen;
         expected_until_ = now + options_.sync_timeout / 4;
     }
-    if (it->wants && base_gen() > it->gen)
-        reply.delta = delta_from(it->gen);
-    return encode_sync(reply);
+    if (it.wants && base_gen() > it.gen)
+        reply.delta = delta_from(it.gen);
+    return seal_sync(reply, sync_direction::reply, *keys_);
 }
 
 void config_sync::impl::on_reply(const endpoint& peer, byte_view reply,
                                  time_point now, sync_actions& out) {
-    const auto it = handle_failure(
-        [&]() -> result<std::optional<sync_message>> {
-            BOOST_LEAF_AUTO(decoded, decode_sync(reply));
-            return std::optional(std::move(decoded));
+    const auto opened = handle_failure(
+        [&]() -> result<std::optional<opened_sync>> {
+            BOOST_LEAF_AUTO(message,
+                            open_sync(reply, sync_direction::reply, *keys_));
+            return std::optional(std::move(message));
         },
-        [](const failure&) { return std::optional<sync_message>(); });
-    if (!it)
+        [](const failure&) { return std::optional<opened_sync>(); });
+    if (!opened || !admits_reply(peer, *opened))
         return on_peer_error(peer, now, out);
+    const sync_message& it = opened->message;
     waiting_.erase(peer);
     if (!current_)
         answered_.insert(peer);
     const bool was_push = pushed_.erase(peer) > 0;
     if (pulling_ == peer)
         pulling_.reset();
-    learn(*it, now, out);
-    if (is_news(*it))
-        follow_claim(peer, it->gen, now, out);
+    // Only a reply counts as contact: a recorded request can be sent again.
+    next_direct_read_ = now + options_.direct_read_after +
+                        jitter(options_.direct_read_after / 2);
+    learn(it, now, out);
+    if (is_news(it))
+        follow_claim(peer, it.gen, now, out);
     else
         claims_.erase(peer);
     // A peer that still wants the set after a push could not use it.
-    if (it->wants && base_gen() > it->gen && !was_push) {
+    if (it.wants && base_gen() > it.gen && !was_push) {
         sync_message push = make_message();
-        push.delta = delta_from(it->gen);
+        push.delta = delta_from(it.gen);
         pushed_.insert(peer);
-        out.push_back(sync_with{peer, encode_sync(push)});
+        send(peer, std::move(push), now, out);
     }
     try_to_serve(now, out);
 }
--- /dev/null
+++ b/packages/core/src/config/sync_auth_test.cpp
@@ -0,0 +1,209 @@
+// Guards what is learnt from peers: forged, altered and replayed messages,
+// messages without a tag, and the change of keys.
+
+#include "sync_envelope.hpp"
+
+#include <arbutusport/config/config_sync.hpp>
+#include <arbutusport/records/parse.hpp>
+#include <arbutusport/wire/make_keyring.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace arbutusport::config {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr endpoint seed{1, 1};
+constexpr endpoint stranger{1, 2};
+
+struct test_key {
+    int id;
+    const char* state;
+};
+
+records::snapshot_ptr make_set(std::uint64_t revision,
+                               const std::vector<test_key>& keys) {
+    std::string list;
+    for (const test_key& it : keys)
+        list += (list.empty() ? R"({"id":)" : R"(,{"id":)") +
+                std::to_string(it.id) + R"(,"secret":")" +
+                std::string(32, static_cast<char>('0' + it.id)) +
+                R"(","state":")" + it.state + R"("})";
+    return records::build_snapshot(
+               {1, revision},
+               {{"fleet/main",
+                 R"({"schema":2,"kind":"fleet","name":"main","epoch":1})", 1},
+                {"keys/packets",
+                 R"({"schema":2,"kind":"keys","name":"packets","keys":[)" +
+                     list + "]}",
+                 revision}})
+        .value();
+}
+
+records::snapshot_ptr make_set(std::uint64_t revision) {
+    return make_set(revision, {{1, "active"}});
+}
+
+sync_message carry(const records::snapshot_ptr& set) {
+    const auto delta = records::make_full(*set);
+    return {set->gen, delta.digest, true, delta, {}};
+}
+
+std::unique_ptr<config_sync> make_fresh() {
+    return std::make_unique<config_sync>(sync_options{
+        .self = process_id(1), .data_centre = "poa-a", .seeds = {seed}});
+}
+
+// The request to the seed; sent in the first tick.
+sync_with first_request(config_sync& it, time_point now) {
+    for (const sync_action& action : it.on_tick(now))
+        if (const auto* out = std::get_if<sync_with>(&action))
+            return *out;
+    CPPUNIT_FAIL("no request");
+    return {};
+}
+
+std::uint64_t nonce_of(byte_view request) {
+    return decode_sync(request).value().nonce;
+}
+
+// Takes `set` from the platform.
+std::unique_ptr<config_sync> make_serving(const records::snapshot_ptr& set,
+                                          time_point now) {
+    auto it = std::make_unique<config_sync>(
+        sync_options{.self = process_id(1), .data_centre = "poa-a"});
+    it->on_tick(now);
+    head listed{set->gen, {}};
+    for (const auto& record : set->raw)
+        listed.records.push_back({record.key, record.revision});
+    it->on_head(listed, now);
+    it->on_tick(now);
+    it->on_records(set->raw, now);
+    CPPUNIT_ASSERT(it->current() && it->current()->gen == set->gen);
+    return it;
+}
+
+bytes seal(const sync_message& it, const records::snapshot_ptr& keys_of) {
+    return seal_sync(it, sync_direction::request,
+                     *wire::make_keyring(keys_of->keys));
+}
+
+} // namespace
+
+class sync_auth_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(sync_auth_test);
+    CPPUNIT_TEST(learns_nothing_without_a_genuine_tag);
+    CPPUNIT_TEST(an_altered_message_changes_nothing);
+    CPPUNIT_TEST(a_reply_counts_once_and_for_its_request);
+    CPPUNIT_TEST(a_fresh_process_gets_the_set);
+    CPPUNIT_TEST(a_fresh_process_believes_only_its_seeds);
+    CPPUNIT_TEST(an_implausible_revision_is_refused);
+    CPPUNIT_TEST(no_message_is_refused_while_keys_change);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void learns_nothing_without_a_genuine_tag() {
+        const auto it = make_serving(make_set(1), {});
+        const auto forged_keys = make_set(1, {{2, "active"}});
+        const auto same_id = make_set(2);
+        wire::keyring wrong;
+        wrong.add(key_id(1), {0xde, 0xad}, true);
+        for (const bytes& message :
+             {encode_sync(carry(same_id)), seal(carry(same_id), forged_keys),
+              seal_sync(carry(same_id), sync_direction::request, wrong),
+              seal_sync(carry(same_id), sync_direction::reply,
+                        *wire::make_keyring(same_id->keys))})
+            CPPUNIT_ASSERT(it->on_request(message, {}).actions.empty());
+        CPPUNIT_ASSERT((it->current()->gen == generation{1, 1}));
+        it->on_request(seal(carry(same_id), same_id), {});
+        CPPUNIT_ASSERT((it->current()->gen == generation{1, 2}));
+    }
+
+    void an_altered_message_changes_nothing() {
+        const auto it = make_serving(make_set(1), {});
+        const bytes good = seal(carry(make_set(2)), make_set(1));
+        for (std::size_t n = 0; n < good.size(); ++n) {
+            bytes altered = good;
+            altered[n] ^= 0x10;
+            it->on_request(altered, {});
+            CPPUNIT_ASSERT((it->current()->gen == generation{1, 1}));
+        }
+    }
+
+    // Otherwise a recorded reply could stand for later ones.
+    void a_reply_counts_once_and_for_its_request() {
+        const auto set = make_set(1);
+        const auto fresh = make_fresh();
+        const auto asked = first_request(*fresh, {});
+        sync_message reply = carry(set);
+        reply.nonce = nonce_of(asked.request) + 2;
+        fresh->on_reply(seed, encode_sync(reply), {});
+        fresh->on_tick(time_point(10s));
+        CPPUNIT_ASSERT(!fresh->current());
+    }
+
+    void a_fresh_process_gets_the_set() {
+        const auto it = make_serving(make_set(4), {});
+        sync_message request;
+        request.wants = true;
+        request.nonce = 77;
+        const auto answer = it->on_request(encode_sync(request), {});
+        CPPUNIT_ASSERT(answer.actions.empty());
+        const auto reply = decode_sync(answer.reply).value();
+        CPPUNIT_ASSERT(reply.delta && reply.nonce == 77);
+        CPPUNIT_ASSERT((reply.gen == generation{1, 4}));
+    }
+
+    void a_fresh_process_believes_only_its_seeds() {
+        const auto starts_from = [](const endpoint& peer) {
+            const auto it = make_fresh();
+            sync_message reply = carry(make_set(4));
+            reply.nonce = nonce_of(first_request(*it, {}).request);
+            it->on_reply(peer, encode_sync(reply), {});
+            // Requests that are still open time out.
+            for (auto now = time_point(); now < time_point(12s); now += 100ms)
+                it->on_tick(now);
+            return it->current() != nullptr;
+        };
+        CPPUNIT_ASSERT(starts_from(seed));
+        CPPUNIT_ASSERT(!starts_from(stranger));
+        const auto it = make_fresh();
+        it->on_tick({});
+        it->on_request(encode_sync(carry(make_set(4))), {});
+        it->on_tick(time_point(12s));
+        CPPUNIT_ASSERT(!it->current());
+    }
+
+    void an_implausible_revision_is_refused() {
+        const auto it = make_serving(make_set(1), {});
+        it->on_request(
+            seal(carry(make_set(std::uint64_t{1} << 62)), make_set(1)), {});
+        CPPUNIT_ASSERT((it->current()->gen == generation{1, 1}));
+    }
+
+    // Any two neighbouring steps may exist side by side.
+    void no_message_is_refused_while_keys_change() {
+        const std::vector<std::vector<test_key>> steps{
+            {{1, "active"}},
+            {{1, "active"}, {2, "accepted"}},
+            {{1, "accepted"}, {2, "active"}},
+            {{2, "active"}}};
+        for (std::size_t i = 0; i + 1 < steps.size(); ++i) {
+            const auto older = make_set(i + 1, steps[i]);
+            const auto newer = make_set(i + 2, steps[i + 1]);
+            const auto at_newer = make_serving(newer, {});
+            const auto at_older = make_serving(older, {});
+            CPPUNIT_ASSERT(!at_newer->on_request(seal(carry(older), older), {})
+                                .reply.empty());
+            CPPUNIT_ASSERT(!at_older->on_request(seal(carry(newer), newer), {})
+                                .reply.empty());
+            CPPUNIT_ASSERT(at_older->current()->gen == newer->gen);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(sync_auth_test);
+
+} // namespace arbutusport::config
--- a/packages/core/src/config/sync_message.cpp
+++ b/packages/core/src/config/sync_message.cpp
@@ -34,6 +34,8 @@
               in.at("g").at(1).get<std::uint64_t>()};
     it.digest = in.at("d").get<std::uint64_t>();
     it.wants = in.contains("w");
+    if (in.contains("n"))
+        it.nonce = in["n"].get<std::uint64_t>();
     if (in.contains("e")) {
         if (in["e"].size() > max_events)
             return fail("decode_sync", "", "more events than allowed");
@@ -57,6 +59,8 @@
 bytes encode_sync(const sync_message& it) {
     json out{{"g", json::array({it.gen.epoch, it.gen.revision})},
              {"d", it.digest}};
+    if (it.nonce != 0)
+        out["n"] = it.nonce;
     if (it.wants)
         out["w"] = true;
     if (it.delta)
--- a/packages/core/src/config/sync_message.hpp
+++ b/packages/core/src/config/sync_message.hpp
@@ -20,6 +20,8 @@
     bool wants = false;
     std::optional<records::record_delta> delta;
     std::vector<membership::member_event> events;
+    /// Drawn for each request; the reply repeats it.
+    std::uint64_t nonce = 0;
 };
 
 /// @brief CBOR.
--- a/packages/core/src/membership/member_table.cpp
+++ b/packages/core/src/membership/member_table.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Clocks of different processes are expected to differ by less.
+constexpr std::uint64_t max_clock_lead_ms = 60'000;
+
 std::tuple<incarnation, std::uint32_t, member_state>
 order_of(const member_event& it) {
     return {it.run, it.refutations, it.state};
@@ -70,7 +73,20 @@
     return out;
 }
 
+// A start time in the future would outlast every genuine restart.
+bool member_table::impl::is_plausible(const member_event& it,
+                                      time_point now) const {
+    const auto start_ms = [](incarnation run) { return run.value() >> 16; };
+    const auto age = std::chrono::floor<std::chrono::milliseconds>(
+        now - first_tick_.value_or(now));
+    return start_ms(it.run) <= start_ms(settings_.run) +
+                                   static_cast<std::uint64_t>(age.count()) +
+                                   max_clock_lead_ms;
+}
+
 void member_table::impl::apply(member_event it, time_point now) {
+    if (!is_plausible(it, now))
+        return;
     if (it.id == settings_.self)
         return apply_own(it);
     member* known = roster_.find(it.id);
--- a/packages/core/src/membership/member_table_impl.hpp
+++ b/packages/core/src/membership/member_table_impl.hpp
@@ -65,6 +65,7 @@
         time_point sent;
     };
 
+    bool is_plausible(const member_event& it, time_point now) const;
     void apply(member_event it, time_point now);
     void apply_own(const member_event& it);
     void change(member& it, const member_event& next, time_point now);
@@ -100,6 +101,8 @@
     std::map<std::uint64_t, relay> relays_;
     std::uint64_t last_sequence_ = 0;
     std::uint64_t rounds_ = 0;
+    // Stands for the time of the own incarnation.
+    std::optional<time_point> first_tick_;
     std::optional<time_point> last_tick_;
     time_point next_round_;
     bool has_news_ = false;
--- a/packages/core/src/membership/membership_test.cpp
+++ b/packages/core/src/membership/membership_test.cpp
@@ -146,6 +146,7 @@
     CPPUNIT_TEST(a_paused_member_returns_in_its_incarnation);
     CPPUNIT_TEST(a_pause_is_no_evidence_against_peers);
     CPPUNIT_TEST(a_restarted_member_replaces_the_old);
+    CPPUNIT_TEST(an_incarnation_of_the_future_is_refused);
     CPPUNIT_TEST(the_list_marks_leaving_but_never_alive);
     CPPUNIT_TEST(the_configuration_marks_leaving_and_back);
     CPPUNIT_TEST(random_faults_heal);
@@ -232,6 +233,24 @@
         CPPUNIT_ASSERT(!it[0].is_down(id_of(5)));
     }
 
+    // It would outlast every genuine restart of that member.
+    void an_incarnation_of_the_future_is_refused() {
+        fleet it(4);
+        it.advance(3s);
+        const auto told = [&](std::uint64_t ms_ahead) {
+            const auto ms =
+                (it.run(0).value() >> 16) +
+                static_cast<std::uint64_t>(it.now().time_since_epoch() / 1ms) +
+                ms_ahead;
+            it[0].on_events(
+                {{id_of(5), incarnation(ms << 16), 0, member_state::down}},
+                it.now());
+            return it[0].is_down(id_of(5));
+        };
+        CPPUNIT_ASSERT(!told(61'000));
+        CPPUNIT_ASSERT(told(50'000));
+    }
+
     void the_list_marks_leaving_but_never_alive() {
         fleet it(4);
         it.advance(3s);
--- a/packages/core/src/membership/probing.cpp
+++ b/packages/core/src/membership/probing.cpp
@@ -44,6 +44,7 @@
 // probes are forgotten, and suspicions get the lost time back.
 void member_table::impl::notice_pause(time_point now) {
     if (!last_tick_) {
+        first_tick_ = now;
         // The rounds of different processes are spread over the interval.
         next_round_ =
             now + duration(static_cast<duration::rep>(
--- a/packages/testing/include/arbutusport/emulator/record_store.hpp
+++ b/packages/testing/include/arbutusport/emulator/record_store.hpp
@@ -31,6 +31,9 @@
     /// service has that host.
     bool edit_host(const std::string& host, const std::string& field,
                    const std::string& json_value);
+    /// @brief Publishes the key as "accepted", "active" (the others become
+    /// accepted) or "removed"; adds a key that is not there.
+    void set_key(std::uint64_t id, const std::string& state);
     /// @brief A new revision without effect on hosts.
     void touch();
 
--- a/packages/testing/include/arbutusport/emulator/scenario.hpp
+++ b/packages/testing/include/arbutusport/emulator/scenario.hpp
@@ -28,6 +28,7 @@
     shed,     // an upstream refuses work for a time
     slow,     // an upstream takes longer for a time
     rebind,   // clients continue under new source ports
+    key,      // a packet key is accepted, active or removed
     forge,    // forged packets are sent to every process
 };
 
@@ -36,7 +37,7 @@
     step_kind kind = step_kind::publish;
     /// Process, host or client names; a trailing '*' matches any rest.
     std::vector<std::string> subjects;
-    /// The other side of a cut, a platform mode or a weight.
+    /// The other side of a cut, a platform mode, a weight or a key's state.
     std::vector<std::string> arguments;
     /// Zero if the effect lasts.
     duration lasting{};
--- a/packages/testing/src/emulator/record_store.cpp
+++ b/packages/testing/src/emulator/record_store.cpp
@@ -6,7 +6,9 @@
 
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iterator>
+#include <sstream>
 #include <stdexcept>
 
 namespace arbutusport::emulator {
@@ -70,6 +72,29 @@
     return false;
 }
 
+void record_store::set_key(std::uint64_t id, const std::string& state) {
+    const std::string name = "keys/packets";
+    auto record = nlohmann::json::parse(text(name));
+    auto& keys = record.at("keys");
+    auto changed = nlohmann::json::array();
+    for (auto it : keys) {
+        if (it.at("id") == id)
+            continue;
+        if (state == "active")
+            it["state"] = "accepted";
+        changed.push_back(it);
+    }
+    if (state != "removed") {
+        // Each key has a secret of its own.
+        std::ostringstream secret;
+        secret << std::hex << std::setfill('0') << std::setw(32) << id;
+        changed.push_back(
+            {{"id", id}, {"secret", secret.str()}, {"state", state}});
+    }
+    keys = std::move(changed);
+    publish(name, record.dump());
+}
+
 void record_store::touch() {
     const auto fleet = current_.records.lower_bound("fleet/");
     publish(fleet->first, std::string(fleet->second.json));
--- a/packages/testing/src/emulator/scenario.cpp
+++ b/packages/testing/src/emulator/scenario.cpp
@@ -48,6 +48,7 @@
     {"shed", {step_kind::shed, true, false}},
     {"slow", {step_kind::slow, true, false}},
     {"rebind", {step_kind::rebind, true, false}},
+    {"key", {step_kind::key, true, true}},
     {"forge", {step_kind::forge, false, false}},
 };
 
--- a/packages/testing/src/emulator/scenario_runner.cpp
+++ b/packages/testing/src/emulator/scenario_runner.cpp
@@ -118,6 +118,9 @@
             return edit(subject, "state", R"("out")");
         case step_kind::reweight:
             return edit(subject, "weight", it.arguments.front());
+        case step_kind::key:
+            store_.set_key(std::stoul(subject), it.arguments.front());
+            return fleet_.note_published(store_.head("").gen);
         case step_kind::corrupt:
             return corrupt(subject);
         case step_kind::shed:
--- a/packages/testing/src/emulator/virtual_fleet_io.cpp
+++ b/packages/testing/src/emulator/virtual_fleet_io.cpp
@@ -78,6 +78,11 @@
 
 void virtual_fleet::receive_packet(process& to, const bytes& data,
                                    const endpoint& from) {
+    // Expected at the start, and therefore counted apart from unknown keys.
+    if (!to.keys->can_sign()) {
+        ++counts_.drops["before_configuration"];
+        return;
+    }
     auto actions = handle_failure(
         [&]() -> result<node::outputs> {
             BOOST_LEAF_AUTO(message, wire::decode_packet(data, *to.keys));
@@ -118,6 +123,8 @@
                   [this, &from, to, request = it.request, reply_arrives] {
                       input(*to, [this, &from, to, request, reply_arrives] {
                           auto answer = feed(*to, sync_request_input{request});
+                          if (answer.reply->empty() && to->in_force)
+                              ++counts_.drops["sync"];
                           links_.stream(to->end(), from.end(),
                                         [reply = *answer.reply, reply_arrives] {
                                             reply_arrives(reply);
