--- a/packages/testing/src/emulator/bench_process.cpp
+++ b/packages/testing/src/emulator/bench_process.cpp
@@ -1,4 +1,5 @@
-// Memory and processor time of idle arbutusd processes, from /proc.
+// Memory and processor time of idle arbutusd processes, from /proc, and the
+// latency that a deployment of today's size adds.
 
 #include <arbutusport/emulator/bench.hpp>
 #include <arbutusport/emulator/deployment.hpp>
@@ -10,6 +11,7 @@
 #include <fstream>
 #include <map>
 #include <sstream>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -46,6 +48,59 @@
     return 0;
 }
 
+// Contributions only, since a read of many blocks has another latency.
+load_settings latency_load(std::uint64_t seed, double rate) {
+    return {.clients = 20,
+            .rate = rate,
+            .length = 10s,
+            .contributions = 1,
+            .observers = 0,
+            .seed = seed};
+}
+
+// The upstream's endpoint in a host's settings file.
+endpoint upstream_of(const std::string& settings) {
+    std::istringstream in(settings);
+    for (std::string line; std::getline(in, line);)
+        if (line.starts_with("upstream"))
+            return parse_endpoint(line.substr(line.find_last_of(" =") + 1))
+                .value();
+    throw std::runtime_error("the settings name no upstream");
+}
+
+double to_ms(duration it) {
+    return std::chrono::duration<double, std::milli>(it).count();
+}
+
+// Through fabric, entries and hosts, against the same load per upstream sent
+// to one upstream directly.
+void bench_latency(deployment& fleet, std::uint64_t seed,
+                   const figure_sink& sink) {
+    constexpr double rate = 70;
+    const auto& service = fleet.layout().services.front();
+    fleet.start_load(latency_load(seed, rate));
+    const auto through = fleet.finish_load().summary;
+
+    auto direct_load =
+        latency_load(seed, rate / static_cast<double>(service.hosts.size()));
+    direct_load.services = {
+        {service.name,
+         upstream_of(fleet.layout().settings.at(service.hosts.front()))}};
+    load_generator direct(direct_load);
+    direct.run([] { return false; });
+    const auto bare = direct.summary();
+
+    const std::string notes =
+        "entries=3 hosts=7+3 rate_per_service=70 clients_per_service=20";
+    sink({"p50_latency_ms", to_ms(through.p50), "ms", to_ms(bare.p50),
+          "upstream_directly", seed, notes});
+    sink({"p99_latency_ms", to_ms(through.p99), "ms", to_ms(bare.p99),
+          "upstream_directly", seed,
+          notes + " added_ms=" + std::to_string(to_ms(through.p99 - bare.p99)) +
+              " sent=" + std::to_string(through.total.sent) +
+              " answered=" + std::to_string(through.total.answered)});
+}
+
 } // namespace
 
 void bench_process(std::uint64_t seed, const figure_sink& sink) {
@@ -77,6 +132,7 @@
         sink({"idle_resident_bytes", memory, "B", 0, "none", seed,
               notes + " largest=1"});
     }
+    bench_latency(fleet, seed, sink);
 }
 
 } // namespace arbutusport::emulator
--- a/packages/testing/src/emulator/virtual_fleet.cpp
+++ b/packages/testing/src/emulator/virtual_fleet.cpp
@@ -231,17 +231,9 @@
         list.push_back({it->id, leaving_.contains(it->name)});
     for (auto& it : processes_)
         input(*it, [this, &at = *it, list] {
-<<<<<<< HEAD
             // Only readers read the list; the others hear from them.
-            if (!at.control_plane().is_reader(clock_.now()))
-                return;
-            if (at.host)
-                perform(at, at.host->on_instances(list, clock_.now()));
-            else
-                at.control_plane().on_instances(list, clock_.now());
-=======
-            feed_and_perform(at, instances_input{list});
->>>>>>> requests
+            if (at.control_plane().is_reader(clock_.now()))
+                feed_and_perform(at, instances_input{list});
         });
     clock_.after(list_interval, [this] { send_list(); });
 }
