End a drain when the record is active again

Cause: host_node kept one flag for a planned stop, which is final, and for a draining record, which operators may take back; a host that started before its record appeared drained for ever, too.

--- a/packages/core/include/arbutusport/node/host_node.hpp
+++ b/packages/core/include/arbutusport/node/host_node.hpp
@@ -43,12 +43,11 @@
     /// @brief The platform's list of instances.
     outputs on_instances(const std::vector<listed_instance>& list,
                          time_point now);
-    /// @brief Begins a planned stop.
-    outputs drain(time_point now);
-    /// @brief Like drain(), but sessions end by notice within `limit`.
+    /// @brief Begins a planned stop: no new flows, and sessions end by
+    /// notice within `limit`. There is no way back.
     outputs stop(time_point now, duration limit);
-    bool draining() const { return draining_; }
-    bool drained() const { return draining_ && broker_.drained(); }
+    bool draining() const { return leaving_ || drained_by_record_; }
+    bool drained() const { return draining() && broker_.drained(); }
 
     const flows::flow_owner& flows() const { return flows_; }
     const requests::request_broker& broker() const { return broker_; }
@@ -56,6 +55,12 @@
 private:
     outputs on_config(const records::snapshot_ptr& snapshot, time_point now);
     outputs on_execute(const wire::packet& message, time_point now);
+    /// This process leaves; no record brings it back.
+    void leave(time_point now);
+    /// Takes no new flows until the record is active again.
+    void drain_by_record(time_point now);
+    void end_drain_by_record();
+    duration drain_timeout() const;
     outputs convert(flows::flow_actions actions, time_point now);
     outputs convert(requests::broker_actions actions, time_point now);
     void apply(requests::broker_action action, outputs& out, time_point now);
@@ -71,7 +76,11 @@
     requests::request_broker broker_;
     // Rotates the choice of a peer for retries.
     std::uint64_t next_peer_ = 0;
-    bool draining_ = false;
+    // Set for good by a planned stop, by the platform's list, or because a
+    // later process has this name.
+    bool leaving_ = false;
+    // Set while the own record is missing, draining or out.
+    bool drained_by_record_ = false;
     // Time of the call in progress, for the flow layer's hook.
     time_point now_;
 };
--- a/packages/core/include/arbutusport/requests/request_broker.hpp
+++ b/packages/core/include/arbutusport/requests/request_broker.hpp
@@ -139,6 +139,8 @@
     void set_limits(std::uint32_t slots, std::size_t max_queue);
     /// @brief Begins to drain; sessions end by notice at `deadline`.
     void drain(time_point deadline);
+    /// @brief Takes new sessions again; those that ended stay ended.
+    void end_drain();
     /// @brief True when nothing is in progress and no session is open.
     bool drained() const;
 
--- a/packages/core/src/node/host_node.cpp
+++ b/packages/core/src/node/host_node.cpp
@@ -93,8 +93,8 @@
     now_ = now;
     // Control first: after a pause, claims are void before they are acted on.
     outputs out = control_.on_tick(now);
-    if (!draining_ && control_.members().has_left())
-        append(drain(now), out);
+    if (control_.members().has_left())
+        leave(now);
     append(convert(flows_.on_tick(now), now), out);
     append(convert(broker_.on_tick(now), now), out);
     return out;
@@ -106,29 +106,54 @@
     const bool leaving = std::ranges::any_of(list, [&](const auto& it) {
         return it.id == options_.self && it.leaving;
     });
-    return leaving ? drain(now) : outputs{};
+    if (leaving)
+        leave(now);
+    return {};
 }
 
-outputs host_node::drain(time_point now) {
-    now_ = now;
-    if (draining_)
-        return {};
-    draining_ = true;
-    flows_.set_draining(true);
-    control_.leave(now);
+duration host_node::drain_timeout() const {
     const auto snapshot = control_.current();
     const records::service* service =
         snapshot ? snapshot->find_service(options_.service) : nullptr;
-    const duration fallback =
+    const duration published =
         service ? service->drain_timeout : records::service{}.drain_timeout;
-    broker_.drain(now + options_.drain_timeout.value_or(fallback));
-    return {};
+    return options_.drain_timeout.value_or(published);
+}
+
+void host_node::leave(time_point now) {
+    if (leaving_)
+        return;
+    leaving_ = true;
+    flows_.set_draining(true);
+    control_.leave(now);
+    if (!drained_by_record_)
+        broker_.drain(now + drain_timeout());
 }
 
 outputs host_node::stop(time_point now, duration limit) {
-    outputs out = drain(now);
+    now_ = now;
+    leave(now);
     broker_.drain(now + limit);
-    return out;
+    return {};
+}
+
+void host_node::drain_by_record(time_point now) {
+    if (drained_by_record_)
+        return;
+    drained_by_record_ = true;
+    flows_.set_draining(true);
+    if (!leaving_)
+        broker_.drain(now + drain_timeout());
+}
+
+void host_node::end_drain_by_record() {
+    if (!drained_by_record_)
+        return;
+    drained_by_record_ = false;
+    if (leaving_)
+        return;
+    flows_.set_draining(false);
+    broker_.end_drain();
 }
 
 outputs host_node::on_config(const records::snapshot_ptr& snapshot,
@@ -139,7 +164,9 @@
         broker_.set_limits(service->limits.slots, service->limits.queue);
     const records::host* own = find_host(options_.self);
     if (!own || own->state != records::host_state::active)
-        append(drain(now), out);
+        drain_by_record(now);
+    else
+        end_drain_by_record();
     return out;
 }
 
--- a/packages/core/src/requests/broker_impl.hpp
+++ b/packages/core/src/requests/broker_impl.hpp
@@ -88,6 +88,7 @@
         queue_.set_limit(max_queue);
     }
     void drain(time_point deadline) { drain_deadline_ = deadline; }
+    void end_drain() { drain_deadline_.reset(); }
     bool drained() const;
 
     broker_actions take_actions() { return std::exchange(actions_, {}); }
--- a/packages/core/src/requests/request_broker.cpp
+++ b/packages/core/src/requests/request_broker.cpp
@@ -122,6 +122,10 @@
     impl_->drain(deadline);
 }
 
+void request_broker::end_drain() {
+    impl_->end_drain();
+}
+
 bool request_broker::drained() const {
     return impl_->drained();
 }
--- a/packages/testing/src/emulator/bench_process.cpp
+++ b/packages/testing/src/emulator/bench_process.cpp
@@ -78,9 +78,6 @@
                    const figure_sink& sink) {
     constexpr double rate = 70;
     const auto& service = fleet.layout().services.front();
-    fleet.start_load(latency_load(seed, rate));
-    const auto through = fleet.finish_load().summary;
-
     auto direct_load =
         latency_load(seed, rate / static_cast<double>(service.hosts.size()));
     direct_load.services = {
@@ -89,6 +86,9 @@
     load_generator direct(direct_load);
     direct.run([] { return false; });
     const auto bare = direct.summary();
+    // Last, since it ends the upstreams to collect their histories.
+    fleet.start_load(latency_load(seed, rate));
+    const auto through = fleet.finish_load().summary;
 
     const std::string notes =
         "entries=3 hosts=7+3 rate_per_service=70 clients_per_service=20";
