--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -5,7 +5,7 @@
 libpoco-dev libboost1.81-dev libboost-program-options1.81-dev
 libgoogle-glog-dev libnng-dev libcppunit-dev libcoap3-dev
 nlohmann-json3-dev libxxhash-dev librapidcheck-dev libsodium-dev
-gnuplot-nox curl"
+gnuplot-nox curl python3"
 missing=""
 for p in $packages; do
   dpkg-query -W -f='${Status}' "$p" 2>/dev/null | grep -q 'ok installed' ||
