--- a/packages/arbutusd/src/daemon/process_core.cpp
+++ b/packages/arbutusd/src/daemon/process_core.cpp
@@ -44,10 +44,10 @@
                           }));
     control_client_ = std::make_unique<adapters::control_client>();
     platform_ = std::make_unique<adapters::platform_client>(
-        adapters::platform_options{.address = settings_.platform,
-                                   .data_centre = settings_.data_centre,
-                                   .reads_instances =
-                                       [this] { return is_reader_.load(); }},
+        adapters::platform_options{
+            .address = settings_.platform,
+            .data_centre = settings_.data_centre,
+            .reads_instances = [this] { return is_reader_.load(); }},
         platform_callbacks());
     loop_.start(tick_interval, [this] { tick(); });
     log_event(severity::info, "started")
--- a/packages/core/include/arbutusport/requests/dedup_table.hpp
+++ b/packages/core/include/arbutusport/requests/dedup_table.hpp
@@ -66,8 +66,6 @@
     void finish(const operation_key& key, operation_state state,
                 const coap_message& response);
     void erase(const operation_key& key) { entries_.erase(key); }
-    /// @brief For a session that has ended: no binding admits its copies.
-    void erase_session(session_id session);
     /// @brief Removes finished entries that have expired.
     void expire(time_point now);
 
--- a/packages/core/src/requests/dedup_table.cpp
+++ b/packages/core/src/requests/dedup_table.cpp
@@ -4,8 +4,6 @@
 
 #include <arbutusport/base/hash.hpp>
 
-#include <limits>
-
 namespace arbutusport::requests {
 
 namespace {
@@ -69,12 +67,6 @@
     expiries_.emplace(it->expires, key);
 }
 
-void dedup_table::erase_session(session_id session) {
-    constexpr auto last = std::numeric_limits<std::uint64_t>::max();
-    entries_.erase(entries_.lower_bound({session, 0, 0}),
-                   entries_.upper_bound({session, last, last}));
-}
-
 void dedup_table::expire(time_point now) {
     while (!expiries_.empty() && expiries_.top().first <= now) {
         const operation_key key = expiries_.top().second;
--- a/packages/core/src/requests/dedup_table_test.cpp
+++ b/packages/core/src/requests/dedup_table_test.cpp
@@ -29,7 +29,6 @@
     CPPUNIT_TEST(tells_operations_apart);
     CPPUNIT_TEST(keeps_entries_until_they_expire);
     CPPUNIT_TEST(refuses_entries_beyond_its_bound);
-    CPPUNIT_TEST(ends_with_its_session);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -71,15 +70,6 @@
         CPPUNIT_ASSERT(table.add({session_id(1), 1, 1}, 1, at_second(1)));
         CPPUNIT_ASSERT(!table.add({session_id(1), 2, 1}, 2, at_second(1)));
     }
-
-    void ends_with_its_session() {
-        dedup_table table(4);
-        table.add({session_id(1), 1, 1}, 1, at_second(1));
-        table.add({session_id(2), 1, 1}, 2, at_second(1));
-        table.erase_session(session_id(1));
-        CPPUNIT_ASSERT(!table.find({session_id(1), 1, 1}));
-        CPPUNIT_ASSERT(table.find({session_id(2), 1, 1}));
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(dedup_table_test);
--- a/packages/testing/src/emulator/fabric.cpp
+++ b/packages/testing/src/emulator/fabric.cpp
@@ -32,7 +32,6 @@
     std::uint64_t cut = 0;
     std::uint64_t duplicated = 0;
     // Answers whose header is reversed: client to service.
-    std::uint64_t client_as_source = 0;
     std::uint64_t malformed = 0;
     std::uint64_t overflow = 0;
 };
@@ -81,7 +80,6 @@
                      {"lost", counters_.lost},
                      {"cut", counters_.cut},
                      {"duplicated", counters_.duplicated},
-                     {"client_as_source", counters_.client_as_source},
                      {"malformed", counters_.malformed},
                      {"overflow", counters_.overflow}}
                     .dump(),
@@ -128,12 +126,7 @@
             ++counters_.cut;
             return;
         }
-        auto addresses = read_proxy_header(data);
-        if (addresses && services_.contains(addresses->destination)) {
-            // arbutusd names the client as source in both directions.
-            ++counters_.client_as_source;
-            std::swap(addresses->source, addresses->destination);
-        }
+        const auto addresses = read_proxy_header(data);
         const auto service =
             addresses ? services_.find(addresses->source) : services_.end();
         if (service == services_.end()) {
