--- a/packages/core/src/node/host_node.cpp
+++ b/packages/core/src/node/host_node.cpp
@@ -103,10 +103,7 @@
 outputs host_node::on_instances(const std::vector<listed_instance>& list,
                                 time_point now) {
     control_.on_instances(list, now);
-    const bool leaving = std::ranges::any_of(list, [&](const auto& it) {
-        return it.id == options_.self && it.leaving;
-    });
-    if (leaving)
+    if (control_.members().has_left())
         leave(now);
     return {};
 }
