--- a/packages/testing/include/arbutusport/emulator/tool.hpp
+++ b/packages/testing/include/arbutusport/emulator/tool.hpp
@@ -41,6 +41,12 @@
                         boost::program_options::variables_map& values,
                         int& status);
 
+/// @brief Parses the command line and calls `run`. Returns the exit status:
+/// 0, 1 if `run` throws, 2 if the command line is wrong.
+int run_tool(int argc, char** argv,
+             const boost::program_options::options_description& all,
+             const std::function<void()>& run);
+
 /// @brief Parses a loopback endpoint; throws
 /// boost::program_options::error if `text` is none.
 endpoint loopback_endpoint(const std::string& text);
--- a/packages/testing/src/emulator/tool.cpp
+++ b/packages/testing/src/emulator/tool.cpp
@@ -83,6 +83,21 @@
     }
 }
 
+int run_tool(int argc, char** argv, const po::options_description& all,
+             const std::function<void()>& run) {
+    po::variables_map values;
+    int status = 0;
+    if (!parse_command_line(argc, argv, all, values, status))
+        return status;
+    try {
+        run();
+    } catch (const std::exception& it) {
+        std::cerr << argv[0] << ": " << it.what() << '\n';
+        return 1;
+    }
+    return 0;
+}
+
 endpoint loopback_endpoint(const std::string& text) {
     const auto it = parse_endpoint(text);
     if (!it || it->address >> 24 != loopback_network)
--- a/packages/testing/src/tools/client_main.cpp
+++ b/packages/testing/src/tools/client_main.cpp
@@ -100,15 +100,5 @@
 
 int main(int argc, char** argv) {
     command_line it;
-    po::variables_map values;
-    int status = 0;
-    if (!parse_command_line(argc, argv, describe(it), values, status))
-        return status;
-    try {
-        run(it);
-    } catch (const std::exception& error) {
-        std::cerr << "arbutus_client: " << error.what() << '\n';
-        return 1;
-    }
-    return 0;
+    return run_tool(argc, argv, describe(it), [&] { run(it); });
 }
