--- a/packages/arbutusctl/include/arbutusport/ctl/commands.hpp
+++ b/packages/arbutusctl/include/arbutusport/ctl/commands.hpp
@@ -65,7 +65,7 @@
     /// Metrics endpoints of hosts.
     std::vector<endpoint> processes;
     duration timeout = std::chrono::seconds(2);
-    /// Writes the burn rates as an SVG plot, if set.
+    /// File for a gnuplot program that draws the burn rates, if set.
     std::string plot;
 };
 
--- a/packages/arbutusctl/src/arbutusctl_main.cpp
+++ b/packages/arbutusctl/src/arbutusctl_main.cpp
@@ -33,7 +33,7 @@
   arbutusctl explain --records published --service participa \
       --client 127.0.0.9:5000
   arbutusctl status --process 127.0.1.1:7002 127.0.1.2:7002 --output json
-  arbutusctl report --process 127.0.2.1:7003 --plot burn.svg
+  arbutusctl report --process 127.0.2.1:7003 --plot burn.gp && gnuplot burn.gp
 
 Exit codes: 0 success; 1 errors were found or a process did not answer;
 2 the command line is wrong and nothing was done.
@@ -168,7 +168,7 @@
     add_processes(line, processes, timeout_ms,
                   "metrics endpoints of hosts, IP:PORT");
     line.add()("plot", po::value(&options.plot),
-               "write the burn rates as an SVG plot (needs gnuplot)");
+               "write a gnuplot program that draws burn.svg");
     if (!line.parse(args))
         return ctl::exit_success;
     options.processes = to_endpoints(processes);
--- a/packages/arbutusctl/src/ctl/burn_report.cpp
+++ b/packages/arbutusctl/src/ctl/burn_report.cpp
@@ -73,6 +73,7 @@
            "set style fill solid\n"
            "set ylabel 'burn rate'\n"
            "set yrange [0:*]\n"
+           "set key above\n"
            "set xtics rotate by -20 noenhanced\n"
            "$data << END\n"
            "objective";
