--- a/packages/runtime/src/settings/settings.cpp
+++ b/packages/runtime/src/settings/settings.cpp
@@ -350,7 +350,9 @@
     std::ifstream in(path);
     std::ostringstream text;
     if (!in || !(text << in.rdbuf()))
-        return fail("read_settings", path, "file cannot be read");
+        return fail("read_settings", path,
+                    "found=\"an unreadable file\" "
+                    "allowed=\"a readable INI file\"");
     return parse_settings(text.str(), path);
 }
 
