--- /dev/null
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -0,0 +1,146 @@
+// All decisions of an entry that carries flows without reading them: where a
+// new flow opens, which host owns a known one, and who is asked about others.
+#pragma once
+
+#include <arbutusport/base/recent_map.hpp>
+#include <arbutusport/relay/directory.hpp>
+#include <arbutusport/relay/events.hpp>
+#include <arbutusport/relay/host_peers.hpp>
+#include <arbutusport/relay/owner_search.hpp>
+#include <arbutusport/relay/peer_entries.hpp>
+#include <arbutusport/relay/placement.hpp>
+#include <arbutusport/relay/segment.hpp>
+
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace arbutusport::relay {
+
+struct entry_relay_options {
+    incarnation run;
+    machine_address self;
+    data_centre_id data_centre;
+    /// Machines of other entries, some of which may be down.
+    std::vector<machine_address> seeds;
+    /// Wait for a host's answer to an opening packet before another host gets
+    /// it as well. A round trip to another data centre takes some 15 ms, and
+    /// a process on a capped core may stand still for some 50 ms more; the
+    /// client itself sends a copy only after 200 ms.
+    duration answer_timeout = std::chrono::milliseconds(70);
+    /// An opening packet is forgotten after this time; clients give up after
+    /// 1.4 s.
+    duration open_timeout = std::chrono::milliseconds(1500);
+    /// Hosts that one opening packet is sent to without a copy by the client.
+    std::size_t max_hedges = 2;
+    /// Hosts that may send one opening packet back before the client is told.
+    std::size_t max_returns = 4;
+    std::size_t max_hints = 500'000;
+    std::size_t max_openings = 8192;
+    /// Longer than any tick of a running process: it was paused.
+    duration pause_limit = std::chrono::milliseconds(1500);
+    directory_options directory;
+    host_peer_options peers;
+    placement_options placement;
+    owner_search_options search;
+};
+
+struct entry_relay_hooks {
+    /// Sends a client's packet, with its mark, to the process beside a host.
+    std::function<void(machine_address, relay_mark, byte_view)> forward;
+    /// Sends the client a reset in the name of the service.
+    std::function<void(const flow_key&, std::uint32_t sequence)> reset;
+    std::function<void(machine_address, const message&)> send;
+    /// Decodes a client's packet that came back in a message.
+    std::function<std::optional<segment>(byte_view)> decode;
+    /// The store has to be read anew: this process was paused, or its
+    /// reading is stuck.
+    std::function<void(const char* reason)> read_again;
+    std::function<void(const event&)> report;
+};
+
+/// @brief Not thread-safe.
+class entry_relay {
+public:
+    entry_relay(entry_relay_options options, entry_relay_hooks hooks);
+
+    void on_client(const segment& it, time_point now);
+    void on_message(machine_address from, const message& it, time_point now);
+    /// @brief Call every 25 ms or so.
+    void on_tick(time_point now);
+
+    /// @brief For the reader of the store.
+    void on_listing(revision as_of, std::vector<directory_change> items,
+                    time_point now);
+    void on_changes(revision as_of, const std::vector<directory_change>& items,
+                    time_point now);
+    void on_store_error(time_point now);
+
+    /// @brief It can place flows and knows those of its data centre.
+    bool ready(time_point now) const;
+    const directory& known() const { return directory_; }
+    std::size_t hints() const { return hints_.size(); }
+
+private:
+    // A flow whose owner is known. Two hosts may have accepted copies of one
+    // opening packet; the client's acknowledgement tells which it chose.
+    struct hint {
+        machine_address owner;
+        service_tag service;
+        std::uint32_t client_start = 0;
+        std::uint32_t host_start = 0;
+        machine_address other;
+        std::uint32_t other_start = 0;
+    };
+    // An opening packet that no host has accepted yet.
+    struct opening {
+        std::uint32_t client_start = 0;
+        service_tag service;
+        bytes datagram;
+        std::vector<machine_address> tried;
+        std::size_t hedges = 0;
+        std::size_t returns = 0;
+        time_point first_at;
+        time_point due;
+    };
+
+    void on_unrouted(const segment& it);
+    void on_opening(const segment& it, time_point now);
+    void on_known_flow(const segment& it, hint& known, time_point now);
+    bool place(const flow_key& flow, opening& it, time_point now);
+    std::optional<machine_address> next_host(const flow_key& flow, opening& it,
+                                             time_point now);
+    void search(const segment& it, std::optional<machine_address> denied,
+                time_point now);
+    std::vector<owner_search::target>
+    search_targets(const flow_key& flow) const;
+    void conclude_nowhere(const flow_key& flow, std::uint32_t acknowledged);
+    void hedge(time_point now);
+    void send_hellos(time_point now);
+
+    void on_report(machine_address from, const load_report& it, time_point now);
+    void on_flow(machine_address from, const owned_flow& it);
+    void on_returned(machine_address from, const packet_returned& it,
+                     time_point now);
+    void on_directory_changed(const char* reason, time_point now);
+    bool is_known_machine(machine_address it) const;
+    service_tag registered_service(machine_address it) const;
+    void report(event it) const;
+
+    entry_relay_options options_;
+    entry_relay_hooks hooks_;
+    directory directory_;
+    host_peers peers_;
+    peer_entries entries_;
+    owner_search search_;
+    recent_map<flow_key, hint> hints_;
+    std::unordered_map<flow_key, opening> openings_;
+    std::uint64_t digest_seen_ = 0;
+    std::optional<time_point> last_tick_;
+    // When a directory was first there.
+    std::optional<time_point> directory_at_;
+    time_point read_again_at_;
+};
+
+} // namespace arbutusport::relay
--- /dev/null
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -0,0 +1,70 @@
+// What an entry knows of the processes beside hosts: who answers, which host
+// lives, how loaded it is.
+#pragma once
+
+#include <arbutusport/relay/directory.hpp>
+#include <arbutusport/relay/messages.hpp>
+#include <arbutusport/relay/placement.hpp>
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace arbutusport::relay {
+
+struct host_peer_options {
+    /// Interval of hellos to each process; load decisions are at most this
+    /// old.
+    duration hello_interval = std::chrono::milliseconds(400);
+    /// A process that was silent for three hellos is not used for new flows.
+    duration silence_limit = std::chrono::milliseconds(1300);
+    /// After this time an unanswered opening no longer counts.
+    duration unanswered_memory = std::chrono::seconds(2);
+};
+
+class host_peers {
+public:
+    struct peer {
+        bool heard = false;
+        time_point heard_at;
+        time_point known_since;
+        time_point hello_at;
+        load_report report;
+        std::uint32_t placed_since = 0;
+        std::uint32_t unanswered = 0;
+        time_point unanswered_at;
+        /// It sent its flows to this run of the entry.
+        bool sent_flows = false;
+    };
+
+    explicit host_peers(host_peer_options options = {}) : options_(options) {}
+
+    /// @brief Keeps exactly the machines of the directory's hosts.
+    void follow(const directory& known, time_point now);
+    /// @brief Machines whose hello is due; they count as sent.
+    std::vector<machine_address> take_due(time_point now);
+    void on_report(machine_address from, const load_report& it, time_point now);
+    void on_flows(machine_address from);
+    void on_placed(machine_address machine);
+    void on_answered(machine_address machine);
+    void on_unanswered(machine_address machine, time_point now);
+    /// @brief After a pause of this process nobody counts as silent.
+    void on_resumed(time_point now);
+
+    const peer* find(machine_address machine) const;
+    bool host_is_dead(machine_address machine) const;
+    /// @brief Every known process answered a first hello, or is silent.
+    bool all_heard(time_point now) const;
+    /// @brief The hosts of a service that may get new flows.
+    std::vector<candidate> candidates(const directory& known,
+                                      service_id service, data_centre_id own,
+                                      time_point now) const;
+
+private:
+    bool is_reachable(const peer& it, time_point now) const;
+
+    host_peer_options options_;
+    std::unordered_map<machine_address, peer> peers_;
+};
+
+} // namespace arbutusport::relay
--- /dev/null
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -0,0 +1,114 @@
+// Messages between the relay's own processes. One datagram each; a directory
+// takes several parts.
+#pragma once
+
+#include <arbutusport/base/bytes.hpp>
+#include <arbutusport/base/error.hpp>
+#include <arbutusport/relay/directory.hpp>
+#include <arbutusport/relay/segment.hpp>
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+namespace arbutusport::relay {
+
+/// @brief Address of a machine; every process uses the same ports.
+using machine_address = strong_value<struct machine_address_tag, std::uint32_t>;
+
+/// @brief Entry to the process beside a host, at a regular interval.
+struct hello {
+    incarnation run;
+    data_centre_id data_centre;
+    duration idle_timeout{};
+    /// Asks for all flows that the data centre's entries should know.
+    bool wants_flows = false;
+};
+
+/// @brief Answer to a hello, and sent unasked when `host_alive` changes.
+struct load_report {
+    incarnation run;
+    service_tag service;
+    bool host_alive = true;
+    /// Every flow of the host is known: an unknown flow is not here.
+    bool knows_all_flows = false;
+    /// Requests in progress or queued at the host.
+    std::uint32_t outstanding = 0;
+    /// Their mean over the last second, in thousandths.
+    std::uint32_t busy_milli = 0;
+    std::uint32_t flows = 0;
+    /// Entries that this process hears from.
+    std::vector<machine_address> entries;
+};
+
+/// @brief A flow and the sequence numbers with which it was opened.
+struct owned_flow {
+    flow_key flow;
+    std::uint32_t client_start = 0;
+    std::uint32_t host_start = 0;
+};
+
+/// @brief "My host has these flows."
+struct flows_here {
+    std::vector<owned_flow> flows;
+};
+
+/// @brief Answer to a searched packet: "my host does not have this flow."
+struct flow_not_here {
+    flow_key flow;
+};
+
+enum class return_reason : std::uint8_t {
+    host_refused,
+    host_dead,
+    unknown_flow,
+    wrong_service,
+};
+
+const char* to_string(return_reason it);
+
+/// @brief A packet that the host cannot take goes back to its entry.
+struct packet_returned {
+    return_reason reason{};
+    bytes datagram;
+};
+
+/// @brief Entry to entry, at a regular interval.
+struct peer_hello {
+    incarnation run;
+    data_centre_id data_centre;
+    revision as_of;
+    std::uint64_t digest = 0;
+    /// The sender has no routes yet or cannot read the store.
+    bool needs_directory = false;
+    bool is_reply = false;
+    std::vector<machine_address> entries;
+};
+
+/// @brief Part of an encoded directory_view.
+struct directory_part {
+    revision as_of;
+    std::uint64_t digest = 0;
+    std::uint16_t index = 0;
+    std::uint16_t count = 0;
+    bytes content;
+};
+
+using message = std::variant<hello, load_report, flows_here, flow_not_here,
+                             packet_returned, peer_hello, directory_part>;
+
+bytes encode(const message& it);
+
+/// @brief Fails with step "decode_relay_message".
+result<message> decode(byte_view data);
+
+/// Content of one part; fits an Ethernet frame with its headers.
+inline constexpr std::size_t max_part_bytes = 1200;
+
+bytes encode_view(const directory_view& it);
+result<directory_view> decode_view(byte_view data);
+
+/// Flows of one flows_here message; fits an Ethernet frame.
+inline constexpr std::size_t max_flows_per_message = 60;
+
+} // namespace arbutusport::relay
--- /dev/null
+++ b/packages/core/src/relay/directory.cpp
@@ -0,0 +1,152 @@
+// The process's copy of routes and hosts.
+
+#include <arbutusport/base/hash.hpp>
+#include <arbutusport/relay/directory.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace arbutusport::relay {
+
+namespace {
+
+template <class... Handlers>
+struct overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+
+} // namespace
+
+bool directory::adopt_listing(revision as_of,
+                              std::vector<directory_change> items,
+                              time_point now) {
+    if (as_of < as_of_)
+        return false;
+    std::set<host_key> listed;
+    for (auto& item : items) {
+        if (auto* document = std::get_if<routing_document>(&item.what))
+            apply_routing(item.at, std::move(*document));
+        else if (const auto* record = std::get_if<host_record>(&item.what)) {
+            listed.insert(record->key);
+            apply_host(item.at, *record, now);
+        }
+    }
+    std::vector<host_key> missing;
+    for (const auto& [key, it] : hosts_)
+        if (!listed.contains(key))
+            missing.push_back(key);
+    for (const host_key key : missing)
+        remove_host(key, now);
+    as_of_ = as_of;
+    update_digest();
+    return true;
+}
+
+void directory::apply(const directory_change& change, time_point now) {
+    if (change.at <= as_of_)
+        return;
+    std::visit(
+        overloaded{
+            [&](const routing_document& it) { apply_routing(change.at, it); },
+            [&](const host_record& it) { apply_host(change.at, it, now); },
+            [&](const host_removed& it) { remove_host(it.key, now); }},
+        change.what);
+    update_digest();
+}
+
+void directory::advance(revision as_of) {
+    as_of_ = std::max(as_of_, as_of);
+}
+
+bool directory::adopt_view(const directory_view& view, time_point now) {
+    if (view.as_of <= as_of_)
+        return false;
+    std::set<host_key> listed;
+    apply_routing(view.routing_at, view.routing);
+    for (const auto& it : view.hosts) {
+        listed.insert(it.record.key);
+        apply_host(it.at, it.record, now);
+    }
+    // The peer has waited for lapsed records already.
+    std::erase_if(hosts_,
+                  [&](const auto& it) { return !listed.contains(it.first); });
+    as_of_ = view.as_of;
+    update_digest();
+    return true;
+}
+
+directory_view directory::view() const {
+    directory_view out{
+        .as_of = as_of_, .routing_at = routing_at_, .routing = routing_};
+    for (const auto& [key, it] : hosts_)
+        out.hosts.push_back({it.at, it.record});
+    return out;
+}
+
+void directory::store_lost(time_point) {
+    store_lost_ = true;
+}
+
+void directory::store_regained(time_point now) {
+    if (!store_lost_)
+        return;
+    store_lost_ = false;
+    regained_at_ = now;
+}
+
+void directory::on_tick(time_point now) {
+    if (lapses(now))
+        return;
+    const auto erased =
+        std::erase_if(hosts_, [](const auto& it) { return it.second.lapsed; });
+    if (erased != 0)
+        update_digest();
+}
+
+const route* directory::find_route(const endpoint& service) const {
+    const auto it = routes_.find(service);
+    return it == routes_.end() ? nullptr : &it->second;
+}
+
+void directory::apply_routing(revision at, routing_document document) {
+    if (at <= routing_at_)
+        return;
+    routing_at_ = at;
+    routing_ = std::move(document);
+    routes_.clear();
+    for (const route& it : routing_.routes)
+        routes_.emplace(it.address, it);
+}
+
+void directory::apply_host(revision at, const host_record& record,
+                           time_point now) {
+    auto& it = hosts_[record.key];
+    if (at > it.at)
+        it = {.at = at, .record = record, .seen_at = now};
+    it.lapsed = false;
+}
+
+void directory::remove_host(host_key key, time_point now) {
+    const auto it = hosts_.find(key);
+    if (it == hosts_.end())
+        return;
+    if (lapses(now))
+        it->second.lapsed = true;
+    else
+        hosts_.erase(it);
+}
+
+// True while a record may be missing although its host lives.
+bool directory::lapses(time_point now) const {
+    return store_lost_ ||
+           (regained_at_ && now - *regained_at_ < options_.lapse_grace);
+}
+
+void directory::update_digest() {
+    digest_ = hash_combine(0, routing_at_.value());
+    for (const auto& [key, it] : hosts_)
+        digest_ =
+            hash_combine(digest_, hash_combine(key.value(), it.at.value()));
+}
+
+} // namespace arbutusport::relay
--- /dev/null
+++ b/packages/core/src/relay/entry_control.cpp
@@ -0,0 +1,235 @@
+// The control side of an entry: messages, the directory and time.
+
+#include <arbutusport/relay/entry_relay.hpp>
+
+#include <algorithm>
+
+namespace arbutusport::relay {
+
+namespace {
+
+template <class... Handlers>
+struct overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+
+// Processes beside hosts get this long to send the flows that they have,
+// before an entry that has just started takes traffic.
+constexpr duration flows_wait = std::chrono::milliseconds(300);
+// A peer's directory is newer for this long: our own reading is stuck. Two
+// readings of one change lie some milliseconds apart.
+constexpr duration stuck_limit = std::chrono::milliseconds(700);
+// At most one repeated reading in this time, because calls are limited.
+constexpr duration read_again_interval = std::chrono::seconds(2);
+
+} // namespace
+
+void entry_relay::on_message(machine_address from, const message& it,
+                             time_point now) {
+    std::visit(
+        overloaded{
+            [&](const load_report& one) { on_report(from, one, now); },
+            [&](const flows_here& one) {
+                for (const owned_flow& flow : one.flows)
+                    on_flow(from, flow);
+                peers_.on_flows(from);
+            },
+            [&](const flow_not_here& one) {
+                search_.on_not_here(from, one.flow, now);
+            },
+            [&](const packet_returned& one) { on_returned(from, one, now); },
+            [&](const peer_hello& one) {
+                entries_.on_hello(from, one, directory_,
+                                  directory_.store_is_lost(), now);
+            },
+            [&](const directory_part& one) {
+                const auto view = entries_.on_part(from, one);
+                if (view && directory_.adopt_view(*view, now))
+                    on_directory_changed("from_peer", now);
+            },
+            [&](const hello&) {
+                report({.name = "dropped", .reason = "hello_to_entry"});
+            }},
+        it);
+}
+
+void entry_relay::on_report(machine_address from, const load_report& it,
+                            time_point now) {
+    const bool was_dead = peers_.host_is_dead(from);
+    peers_.on_report(from, it, now);
+    for (const machine_address entry : it.entries)
+        entries_.learn(entry, now);
+    if (peers_.host_is_dead(from) != was_dead)
+        report({.severity = event::level::info,
+                .name = was_dead ? "host_back" : "host_dead",
+                .machine = from});
+}
+
+void entry_relay::on_flow(machine_address from, const owned_flow& it) {
+    hint* known = hints_.find(it.flow);
+    if (known != nullptr && known->client_start == it.client_start &&
+        known->owner != from) {
+        // Two hosts accepted copies of one opening packet.
+        known->other = from;
+        known->other_start = it.host_start;
+    } else {
+        const auto* peer = peers_.find(from);
+        const auto service = peer != nullptr && peer->heard
+                                 ? peer->report.service
+                                 : registered_service(from);
+        hints_.put(it.flow, {.owner = from,
+                             .service = service,
+                             .client_start = it.client_start,
+                             .host_start = it.host_start});
+    }
+    peers_.on_answered(from);
+    openings_.erase(it.flow);
+    const relay_mark mark{handling::forward, hints_.find(it.flow)->service};
+    for (const bytes& packet : search_.on_found(it.flow))
+        hooks_.forward(from, mark, packet);
+}
+
+void entry_relay::on_returned(machine_address from, const packet_returned& it,
+                              time_point now) {
+    const auto packet = hooks_.decode(it.datagram);
+    if (!packet) {
+        report({.severity = event::level::warning,
+                .name = "dropped",
+                .reason = "bad_returned_packet",
+                .machine = from});
+        return;
+    }
+    report({.name = "packet_returned",
+            .reason = to_string(it.reason),
+            .flow = packet->flow,
+            .machine = from});
+    if (directory_.find_route(packet->flow.service) == nullptr) {
+        on_unrouted(*packet);
+        return;
+    }
+    const hint* known = hints_.find(packet->flow);
+    if (known != nullptr && known->owner == from)
+        hints_.erase(packet->flow);
+    if (!packet->opening()) {
+        if (hint* other = hints_.find(packet->flow))
+            on_known_flow(*packet, *other, now);
+        else
+            search(*packet, from, now);
+        return;
+    }
+    const auto open = openings_.find(packet->flow);
+    // Another host accepted it, or the client has gone on.
+    if (open == openings_.end() || known != nullptr)
+        return;
+    if (++open->second.returns > options_.max_returns ||
+        !place(packet->flow, open->second, now)) {
+        report({.severity = event::level::info,
+                .name = "refused",
+                .reason = "every_host_refused",
+                .flow = packet->flow});
+        hooks_.reset(packet->flow, packet->acknowledged);
+        openings_.erase(open);
+    }
+}
+
+void entry_relay::on_tick(time_point now) {
+    if (last_tick_ && now - *last_tick_ > options_.pause_limit) {
+        report({.severity = event::level::warning,
+                .name = "resumed",
+                .value = static_cast<std::uint64_t>(
+                    (now - *last_tick_).count() / 1000)});
+        peers_.on_resumed(now);
+        hooks_.read_again("paused");
+    }
+    last_tick_ = now;
+    directory_.on_tick(now);
+    if (directory_.digest() != digest_seen_)
+        on_directory_changed("lapsed", now);
+    send_hellos(now);
+    entries_.on_tick(directory_, directory_.store_is_lost(), now);
+    if (entries_.is_behind(directory_, stuck_limit, now) &&
+        now - read_again_at_ > read_again_interval) {
+        read_again_at_ = now;
+        hooks_.read_again("behind_peers");
+    }
+    hedge(now);
+    search_.on_tick(now);
+}
+
+void entry_relay::send_hellos(time_point now) {
+    for (const machine_address machine : peers_.take_due(now)) {
+        const auto* it = peers_.find(machine);
+        hooks_.send(machine, hello{.run = options_.run,
+                                   .data_centre = options_.data_centre,
+                                   .idle_timeout = directory_.idle_timeout(),
+                                   .wants_flows = !it->sent_flows});
+    }
+}
+
+// Gives opening packets without an answer to further hosts.
+void entry_relay::hedge(time_point now) {
+    std::vector<flow_key> ended;
+    for (auto& [flow, it] : openings_) {
+        if (now - it.first_at > options_.open_timeout) {
+            ended.push_back(flow);
+            continue;
+        }
+        if (now < it.due || it.hedges >= options_.max_hedges)
+            continue;
+        ++it.hedges;
+        if (!it.tried.empty()) {
+            peers_.on_unanswered(it.tried.back(), now);
+            report({.severity = event::level::info,
+                    .name = "opening_unanswered",
+                    .flow = flow,
+                    .machine = it.tried.back()});
+        }
+        place(flow, it, now);
+    }
+    for (const flow_key& flow : ended)
+        openings_.erase(flow);
+}
+
+void entry_relay::on_listing(revision as_of,
+                             std::vector<directory_change> items,
+                             time_point now) {
+    directory_.store_regained(now);
+    if (directory_.adopt_listing(as_of, std::move(items), now))
+        on_directory_changed("listing", now);
+}
+
+void entry_relay::on_changes(revision as_of,
+                             const std::vector<directory_change>& items,
+                             time_point now) {
+    directory_.store_regained(now);
+    for (const directory_change& it : items)
+        directory_.apply(it, now);
+    directory_.advance(as_of);
+    if (!items.empty())
+        on_directory_changed("change", now);
+}
+
+void entry_relay::on_store_error(time_point now) {
+    directory_.store_lost(now);
+}
+
+void entry_relay::on_directory_changed(const char* reason, time_point now) {
+    if (directory_.digest() == digest_seen_)
+        return;
+    digest_seen_ = directory_.digest();
+    if (!directory_at_ && directory_.ready())
+        directory_at_ = now;
+    peers_.follow(directory_, now);
+    report({.severity = event::level::info,
+            .name = "directory_changed",
+            .reason = reason,
+            .value = directory_.version()});
+    send_hellos(now);
+}
+
+bool entry_relay::ready(time_point now) const {
+    return directory_at_ &&
+           (peers_.all_heard(now) || now - *directory_at_ > flows_wait);
+}
+
+} // namespace arbutusport::relay
--- /dev/null
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -0,0 +1,236 @@
+// The client side of an entry: placement, forwarding, search and resets.
+
+#include <arbutusport/base/hash.hpp>
+#include <arbutusport/relay/entry_relay.hpp>
+
+#include <algorithm>
+
+namespace arbutusport::relay {
+
+entry_relay::entry_relay(entry_relay_options options, entry_relay_hooks hooks)
+    : options_(std::move(options)), hooks_(std::move(hooks)),
+      directory_(options_.directory), peers_(options_.peers),
+      entries_({.run = options_.run,
+                .self = options_.self,
+                .data_centre = options_.data_centre,
+                .seeds = options_.seeds},
+               [this](machine_address to, const message& it) {
+                   hooks_.send(to, it);
+               }),
+      search_(
+          options_.search,
+          {.targets = [this](const flow_key& it) { return search_targets(it); },
+           .send =
+               [this](const owner_search::target& to, byte_view datagram) {
+                   hooks_.forward(to.machine, {handling::search, to.service},
+                                  datagram);
+               },
+           .nowhere =
+               [this](const flow_key& it, std::uint32_t acknowledged) {
+                   conclude_nowhere(it, acknowledged);
+               }}),
+      hints_(options_.max_hints) {}
+
+void entry_relay::on_client(const segment& it, time_point now) {
+    if (!directory_.ready()) {
+        report({.name = "dropped", .reason = "no_directory", .flow = it.flow});
+        return;
+    }
+    if (directory_.find_route(it.flow.service) == nullptr) {
+        on_unrouted(it);
+        return;
+    }
+    if (it.opening()) {
+        on_opening(it, now);
+        return;
+    }
+    if (hint* known = hints_.find(it.flow))
+        on_known_flow(it, *known, now);
+    else
+        search(it, std::nullopt, now);
+}
+
+// A route that a newer configuration adds must not be refused, so an entry
+// that cannot read the store stays silent.
+void entry_relay::on_unrouted(const segment& it) {
+    hints_.erase(it.flow);
+    openings_.erase(it.flow);
+    const bool refuses = !directory_.store_is_lost() && !it.rst;
+    report({.name = refuses ? "refused" : "dropped",
+            .reason = "no_route",
+            .flow = it.flow});
+    if (refuses)
+        hooks_.reset(it.flow, it.acknowledged);
+}
+
+void entry_relay::on_opening(const segment& it, time_point now) {
+    const hint* known = hints_.find(it.flow);
+    if (known != nullptr && known->client_start == it.sequence &&
+        !peers_.host_is_dead(known->owner)) {
+        // The host accepted an earlier copy; its answer may be lost.
+        hooks_.forward(known->owner, {handling::place, known->service},
+                       it.datagram);
+        return;
+    }
+    hints_.erase(it.flow);
+    search_.forget(it.flow);
+    const auto found = openings_.find(it.flow);
+    if (found == openings_.end() && openings_.size() >= options_.max_openings) {
+        report({.name = "dropped", .reason = "openings_full", .flow = it.flow});
+        return;
+    }
+    opening& open = openings_[it.flow];
+    if (open.datagram.empty() || open.client_start != it.sequence)
+        open = {.client_start = it.sequence, .first_at = now};
+    open.datagram.assign(it.datagram.begin(), it.datagram.end());
+    open.hedges = 0;
+    if (!place(it.flow, open, now)) {
+        hooks_.reset(it.flow, it.acknowledged);
+        openings_.erase(it.flow);
+    }
+}
+
+// False if the service has no host.
+bool entry_relay::place(const flow_key& flow, opening& it, time_point now) {
+    const auto machine = next_host(flow, it, now);
+    if (!machine)
+        return false;
+    it.tried.push_back(*machine);
+    it.due = now + options_.answer_timeout;
+    peers_.on_placed(*machine);
+    report({.name = "flow_placed",
+            .flow = flow,
+            .machine = *machine,
+            .value = it.tried.size()});
+    hooks_.forward(*machine, {handling::place, it.service}, it.datagram);
+    return true;
+}
+
+std::optional<machine_address>
+entry_relay::next_host(const flow_key& flow, opening& it, time_point now) {
+    const route* way = directory_.find_route(flow.service);
+    if (way == nullptr)
+        return std::nullopt;
+    const auto hash = hash_of(flow);
+    const auto service = choose_service(*way, hash);
+    if (!service) {
+        report({.severity = event::level::warning,
+                .name = "refused",
+                .reason = "route_without_service",
+                .flow = flow});
+        return std::nullopt;
+    }
+    it.service = tag_of(*service);
+    const auto hosts =
+        peers_.candidates(directory_, *service, options_.data_centre, now);
+    auto best = choose_host(hosts, it.tried, hash, options_.placement);
+    if (!best && !it.tried.empty()) {
+        it.tried.clear();
+        best = choose_host(hosts, it.tried, hash, options_.placement);
+    }
+    if (!best) {
+        report({.severity = event::level::warning,
+                .name = "refused",
+                .reason = "service_without_host",
+                .flow = flow});
+        return std::nullopt;
+    }
+    return hosts[*best].machine;
+}
+
+void entry_relay::on_known_flow(const segment& it, hint& known,
+                                time_point now) {
+    if (known.other != machine_address() && it.ack) {
+        // The client acknowledges the host that it chose.
+        if (it.acknowledged - known.other_start <
+            it.acknowledged - known.host_start) {
+            known.owner = known.other;
+            known.host_start = known.other_start;
+        }
+        known.other = {};
+    }
+    const machine_address owner = known.owner;
+    if (peers_.host_is_dead(owner)) {
+        hints_.erase(it.flow);
+        report({.severity = event::level::info,
+                .name = "flow_reset",
+                .reason = "host_dead",
+                .flow = it.flow,
+                .machine = owner});
+        if (!it.rst)
+            hooks_.reset(it.flow, it.acknowledged);
+        return;
+    }
+    if (!is_known_machine(owner)) {
+        hints_.erase(it.flow);
+        search(it, std::nullopt, now);
+        return;
+    }
+    hooks_.forward(owner, {handling::forward, known.service}, it.datagram);
+}
+
+void entry_relay::search(const segment& it,
+                         std::optional<machine_address> denied,
+                         time_point now) {
+    // A late copy of an end needs no owner.
+    if (it.rst)
+        return;
+    const bool fresh = !search_.active(it.flow);
+    if (!search_.add(it, denied, now))
+        report({.name = "dropped", .reason = "search_full", .flow = it.flow});
+    else if (fresh)
+        report({.name = "owner_searched", .flow = it.flow});
+}
+
+// Every host of the services that the route names may own the flow, draining
+// ones as well.
+std::vector<owner_search::target>
+entry_relay::search_targets(const flow_key& flow) const {
+    std::vector<owner_search::target> out;
+    const route* way = directory_.find_route(flow.service);
+    if (way == nullptr)
+        return out;
+    for (const auto& [key, host] : directory_.hosts()) {
+        const machine_address machine(host.record.address.address);
+        const bool named =
+            std::ranges::any_of(way->targets, [&](const auto& it) {
+                return it.service == host.record.service;
+            });
+        const bool listed = std::ranges::any_of(
+            out, [&](const auto& it) { return it.machine == machine; });
+        if (named && !listed && !peers_.host_is_dead(machine))
+            out.push_back({machine, tag_of(host.record.service)});
+    }
+    return out;
+}
+
+void entry_relay::conclude_nowhere(const flow_key& flow,
+                                   std::uint32_t acknowledged) {
+    // Hosts that this process has not heard of may own the flow.
+    if (directory_.store_is_lost()) {
+        report({.name = "dropped", .reason = "owner_unknown", .flow = flow});
+        return;
+    }
+    report({.severity = event::level::info,
+            .name = "flow_reset",
+            .reason = "no_host_has_it",
+            .flow = flow});
+    hooks_.reset(flow, acknowledged);
+}
+
+bool entry_relay::is_known_machine(machine_address machine) const {
+    return peers_.find(machine) != nullptr;
+}
+
+service_tag entry_relay::registered_service(machine_address machine) const {
+    for (const auto& [key, host] : directory_.hosts())
+        if (host.record.address.address == machine.value())
+            return tag_of(host.record.service);
+    return {};
+}
+
+void entry_relay::report(event it) const {
+    hooks_.report(it);
+}
+
+} // namespace arbutusport::relay
--- /dev/null
+++ b/packages/core/src/relay/host_control.cpp
@@ -0,0 +1,150 @@
+// Messages, announcements and time of the process beside a host.
+
+#include <arbutusport/relay/host_relay.hpp>
+
+#include <algorithm>
+
+namespace arbutusport::relay {
+
+namespace {
+
+constexpr duration sweep_interval = std::chrono::seconds(1);
+// Entries named in one report; others name the rest.
+constexpr std::size_t max_named = 16;
+
+} // namespace
+
+void host_relay::on_message(machine_address from, const message& it,
+                            time_point now) {
+    const auto* hi = std::get_if<hello>(&it);
+    if (hi == nullptr) {
+        hooks_.report({.name = "dropped",
+                       .reason = "unexpected_message",
+                       .machine = from});
+        return;
+    }
+    entries_[from] = {hi->data_centre, now};
+    if (hi->idle_timeout > duration::zero())
+        options_.idle_timeout = hi->idle_timeout;
+    hooks_.send(from, make_report(now));
+    if (hi->wants_flows)
+        send_flows(from, hi->data_centre, now);
+}
+
+void host_relay::on_tick(time_point now) {
+    std::vector<flow_key> held;
+    for (auto it = offers_.begin(); it != offers_.end();) {
+        if (now < it->second.due) {
+            ++it;
+            continue;
+        }
+        const offer& one = it->second;
+        // Opening packets carry no acknowledgement; an unanswered one is
+        // forgotten.
+        if (one.acknowledged != 0 && flows_.size() < options_.max_flows) {
+            // The host kept the packet, so it has the flow.
+            owned& flow = flows_[it->first];
+            flow = {.client_start = one.sequence,
+                    .host_start = one.acknowledged,
+                    .acknowledged = one.acknowledged,
+                    .via = data_centre_of(one.entry),
+                    .used_at = now,
+                    .confirmed = true};
+            announce(it->first, flow, now, one.entry);
+        }
+        it = offers_.erase(it);
+    }
+    if (now - swept_at_ < sweep_interval)
+        return;
+    swept_at_ = now;
+    for (const auto& [flow, it] : flows_) {
+        const duration silent = now - it.used_at;
+        const bool closed = it.client_closed && it.host_closed;
+        if ((closed && silent > options_.closed_memory) ||
+            (!it.confirmed && silent > options_.confirm_timeout) ||
+            silent > 2 * options_.idle_timeout)
+            held.push_back(flow);
+    }
+    for (const flow_key& flow : held)
+        erase(flow, now);
+    std::erase_if(entries_, [&](const auto& it) {
+        return now - it.second.heard_at > options_.entry_memory;
+    });
+}
+
+void host_relay::erase(const flow_key& flow, time_point now) {
+    const auto it = flows_.find(flow);
+    if (it == flows_.end())
+        return;
+    set_busy(it->second, false, now);
+    flows_.erase(it);
+}
+
+// Tells the entries of the flow's data centre, so that whichever gets its
+// next packet knows the owner.
+void host_relay::announce(const flow_key& flow, const owned& it, time_point now,
+                          machine_address also) {
+    const message news = flows_here{{{.flow = flow,
+                                      .client_start = it.client_start,
+                                      .host_start = it.host_start}}};
+    bool told = also == machine_address();
+    for (const auto& [machine, one] : entries_) {
+        if (machine != also && (one.data_centre != it.via ||
+                                now - one.heard_at > options_.entry_memory))
+            continue;
+        told = told || machine == also;
+        hooks_.send(machine, news);
+    }
+    if (!told)
+        hooks_.send(also, news);
+}
+
+void host_relay::set_busy(owned& it, bool busy, time_point now) {
+    if (it.busy == busy)
+        return;
+    it.busy = busy;
+    load_.add(busy ? 1 : -1, now);
+}
+
+// After the idle timeout every live flow has shown itself.
+bool host_relay::knows_all_flows(time_point now) const {
+    return now - complete_since_ >= options_.idle_timeout;
+}
+
+load_report host_relay::make_report(time_point now) {
+    load_report out{.run = options_.run,
+                    .service = options_.service,
+                    .host_alive = alive_,
+                    .knows_all_flows = knows_all_flows(now),
+                    .outstanding = load_.outstanding(),
+                    .busy_milli = static_cast<std::uint32_t>(
+                        1000 * std::max(load_.mean(now), 0.0)),
+                    .flows = static_cast<std::uint32_t>(flows_.size())};
+    for (const auto& [machine, it] : entries_)
+        if (out.entries.size() < max_named)
+            out.entries.push_back(machine);
+    return out;
+}
+
+void host_relay::send_flows(machine_address to, data_centre_id data_centre,
+                            time_point) {
+    flows_here batch;
+    for (const auto& [flow, it] : flows_) {
+        if (it.via != data_centre && it.via != data_centre_id())
+            continue;
+        batch.flows.push_back({flow, it.client_start, it.host_start});
+        if (batch.flows.size() == max_flows_per_message) {
+            hooks_.send(to, batch);
+            batch.flows.clear();
+        }
+    }
+    // An empty batch says that there are no more.
+    hooks_.send(to, batch);
+}
+
+data_centre_id host_relay::data_centre_of(machine_address entry) const {
+    const auto it = entries_.find(entry);
+    return it == entries_.end() ? data_centre_id() : it->second.data_centre;
+}
+
+} // namespace arbutusport::relay
--- /dev/null
+++ b/packages/core/src/relay/host_peers.cpp
@@ -0,0 +1,134 @@
+// The entry's table of host processes.
+
+#include <arbutusport/relay/host_peers.hpp>
+
+#include <unordered_set>
+
+namespace arbutusport::relay {
+
+void host_peers::follow(const directory& known, time_point now) {
+    std::unordered_set<machine_address> machines;
+    for (const auto& [key, it] : known.hosts())
+        machines.insert(machine_address(it.record.address.address));
+    std::erase_if(peers_,
+                  [&](const auto& it) { return !machines.contains(it.first); });
+    for (const machine_address it : machines)
+        peers_.try_emplace(it, peer{.known_since = now});
+}
+
+std::vector<machine_address> host_peers::take_due(time_point now) {
+    std::vector<machine_address> due;
+    for (auto& [machine, it] : peers_) {
+        if (now - it.hello_at < options_.hello_interval)
+            continue;
+        it.hello_at = now;
+        due.push_back(machine);
+    }
+    return due;
+}
+
+void host_peers::on_report(machine_address from, const load_report& report,
+                           time_point now) {
+    const auto it = peers_.find(from);
+    if (it == peers_.end())
+        return;
+    peer& known = it->second;
+    if (known.heard && known.report.run != report.run)
+        known.unanswered = 0;
+    known.heard = true;
+    known.heard_at = now;
+    known.report = report;
+    known.placed_since = 0;
+    if (now - known.unanswered_at > options_.unanswered_memory)
+        known.unanswered = 0;
+}
+
+void host_peers::on_flows(machine_address from) {
+    if (const auto it = peers_.find(from); it != peers_.end())
+        it->second.sent_flows = true;
+}
+
+void host_peers::on_placed(machine_address machine) {
+    if (const auto it = peers_.find(machine); it != peers_.end())
+        ++it->second.placed_since;
+}
+
+void host_peers::on_answered(machine_address machine) {
+    if (const auto it = peers_.find(machine); it != peers_.end())
+        it->second.unanswered = 0;
+}
+
+void host_peers::on_unanswered(machine_address machine, time_point now) {
+    const auto it = peers_.find(machine);
+    if (it == peers_.end())
+        return;
+    ++it->second.unanswered;
+    it->second.unanswered_at = now;
+}
+
+void host_peers::on_resumed(time_point now) {
+    for (auto& [machine, it] : peers_) {
+        it.heard_at = now;
+        it.hello_at = {};
+        it.known_since = now;
+        it.unanswered = 0;
+    }
+}
+
+const host_peers::peer* host_peers::find(machine_address machine) const {
+    const auto it = peers_.find(machine);
+    return it == peers_.end() ? nullptr : &it->second;
+}
+
+bool host_peers::host_is_dead(machine_address machine) const {
+    const peer* it = find(machine);
+    return it != nullptr && it->heard && !it->report.host_alive;
+}
+
+bool host_peers::all_heard(time_point now) const {
+    for (const auto& [machine, it] : peers_)
+        if (!it.heard && now - it.known_since < options_.silence_limit)
+            return false;
+    return true;
+}
+
+bool host_peers::is_reachable(const peer& it, time_point now) const {
+    if (!it.heard)
+        return now - it.known_since < options_.silence_limit;
+    return it.report.host_alive && now - it.heard_at < options_.silence_limit;
+}
+
+std::vector<candidate> host_peers::candidates(const directory& known,
+                                              service_id service,
+                                              data_centre_id own,
+                                              time_point now) const {
+    std::vector<candidate> out;
+    for (const auto& [key, host] : known.hosts()) {
+        const host_record& record = host.record;
+        if (record.service != service || record.draining)
+            continue;
+        const machine_address machine(record.address.address);
+        const peer* it = find(machine);
+        // The address is in use by another service already.
+        if (it != nullptr && it->heard && it->report.service != tag_of(service))
+            continue;
+        candidate one{.machine = machine,
+                      .local = record.data_centre == own,
+                      .slots = record.slots,
+                      .warming_up = now - host.seen_at < record.warmup_left};
+        if (it != nullptr) {
+            one.reachable = is_reachable(*it, now);
+            one.busy = it->report.busy_milli / 1000.0;
+            one.outstanding = it->report.outstanding;
+            one.flows = it->report.flows;
+            one.placed_since = it->placed_since;
+            one.unanswered = it->unanswered;
+        }
+        if (host.lapsed)
+            one.reachable = one.reachable && it != nullptr && it->heard;
+        out.push_back(one);
+    }
+    return out;
+}
+
+} // namespace arbutusport::relay
--- /dev/null
+++ b/packages/core/src/relay/host_relay.cpp
@@ -0,0 +1,241 @@
+// Packets between entries and the host.
+
+#include <arbutusport/relay/host_relay.hpp>
+
+namespace arbutusport::relay {
+
+namespace {
+
+// A client's first acknowledgement lies this close behind the sequence number
+// of the host that it chose, even if its first packets were lost.
+constexpr std::uint32_t confirm_window = 1U << 16;
+
+} // namespace
+
+host_relay::host_relay(host_relay_options options, host_relay_hooks hooks,
+                       time_point now)
+    : options_(options), hooks_(std::move(hooks)), complete_since_(now),
+      swept_at_(now) {}
+
+void host_relay::on_entry(machine_address from, const segment& it,
+                          time_point now) {
+    if (it.mark.service != options_.service) {
+        deny(from, it, return_reason::wrong_service);
+        return;
+    }
+    if (!alive_) {
+        deny(from, it, return_reason::host_dead);
+        return;
+    }
+    if (it.opening()) {
+        on_opening(from, it, now);
+        return;
+    }
+    const auto known = flows_.find(it.flow);
+    if (known == flows_.end()) {
+        on_unknown_flow(from, it, now);
+        return;
+    }
+    owned& flow = known->second;
+    if (!flow.confirmed && it.ack &&
+        it.acknowledged - flow.host_start > confirm_window) {
+        // The client chose another host.
+        deny(from, it, return_reason::unknown_flow);
+        erase(it.flow, now);
+        return;
+    }
+    if (it.mark.kind == handling::search)
+        announce(it.flow, flow, now, from);
+    take_from_client(from, flow, it, now);
+    hooks_.deliver(from, it.datagram);
+}
+
+void host_relay::on_opening(machine_address from, const segment& it,
+                            time_point now) {
+    const auto known = flows_.find(it.flow);
+    if (known != flows_.end() && known->second.client_start != it.sequence)
+        erase(it.flow, now);
+    // The answer is announced to the entries of this one's data centre.
+    if (offers_.size() < options_.max_offers)
+        offers_[it.flow] = {.entry = from,
+                            .due = now + options_.confirm_timeout,
+                            .sequence = it.sequence};
+    hooks_.deliver(from, it.datagram);
+}
+
+void host_relay::on_unknown_flow(machine_address from, const segment& it,
+                                 time_point now) {
+    if (knows_all_flows(now)) {
+        deny(from, it, return_reason::unknown_flow);
+        return;
+    }
+    // This process started after the flow: the host knows.
+    const bool searched = it.mark.kind == handling::search;
+    if (offers_.size() < options_.max_offers)
+        offers_[it.flow] = {.entry = from,
+                            .due = now + options_.return_timeout,
+                            .sequence = it.sequence,
+                            .acknowledged = it.acknowledged,
+                            .searched = searched};
+    hooks_.deliver(from, it.datagram);
+}
+
+void host_relay::take_from_client(machine_address from, owned& flow,
+                                  const segment& it, time_point now) {
+    flow.used_at = now;
+    flow.confirmed = true;
+    if (it.ack)
+        flow.acknowledged = it.acknowledged;
+    if (const auto via = data_centre_of(from); via != data_centre_id())
+        flow.via = via;
+    if (it.payload_bytes > 0)
+        set_busy(flow, true, now);
+    if (it.fin)
+        flow.client_closed = true;
+    if (it.rst)
+        erase(it.flow, now);
+}
+
+void host_relay::on_host(const segment& it, time_point now) {
+    if (it.returned) {
+        on_returned(it, now);
+        return;
+    }
+    if (it.rst) {
+        erase(it.flow, now);
+    } else if (it.syn) {
+        const auto offered = offers_.find(it.flow);
+        owned& flow = flows_[it.flow];
+        flow.host_start = it.sequence;
+        // The host acknowledges the client's first sequence number + 1.
+        flow.client_start = it.acknowledged - 1;
+        flow.used_at = now;
+        machine_address entry;
+        if (offered != offers_.end()) {
+            entry = offered->second.entry;
+            flow.client_start = offered->second.sequence;
+            if (const auto via = data_centre_of(entry); via != data_centre_id())
+                flow.via = via;
+            offers_.erase(offered);
+        }
+        announce(it.flow, flow, now, entry);
+    } else {
+        owned& flow = learn(it, now);
+        flow.used_at = now;
+        flow.held_by_host = true;
+        if (it.payload_bytes > 0)
+            set_busy(flow, false, now);
+        if (it.fin)
+            flow.host_closed = true;
+    }
+    hooks_.to_client(it.flow, it.datagram);
+}
+
+// The flow of a packet that the host sent; it may be new to this process.
+host_relay::owned& host_relay::learn(const segment& it, time_point now) {
+    const auto known = flows_.find(it.flow);
+    if (known != flows_.end())
+        return known->second;
+    owned& flow = flows_[it.flow];
+    flow = {.client_start = it.acknowledged,
+            .host_start = it.sequence,
+            .acknowledged = it.sequence,
+            .used_at = now,
+            .confirmed = true};
+    machine_address entry;
+    if (const auto offered = offers_.find(it.flow); offered != offers_.end()) {
+        entry = offered->second.entry;
+        flow.via = data_centre_of(entry);
+        offers_.erase(offered);
+    }
+    announce(it.flow, flow, now, entry);
+    return flow;
+}
+
+// The host does not hold the flow, or does not accept a new one.
+void host_relay::on_returned(const segment& it, time_point now) {
+    const machine_address entry(it.via_entry);
+    const auto offered = offers_.find(it.flow);
+    if (it.opening()) {
+        if (offered != offers_.end())
+            offers_.erase(offered);
+        give_back(entry, it, return_reason::host_refused);
+        return;
+    }
+    if (offered != offers_.end()) {
+        segment back = it;
+        back.mark.kind =
+            offered->second.searched ? handling::search : handling::forward;
+        offers_.erase(offered);
+        deny(entry, back, return_reason::unknown_flow);
+        return;
+    }
+    const auto known = flows_.find(it.flow);
+    if (known == flows_.end()) {
+        hooks_.report(
+            {.name = "dropped", .reason = "returned_twice", .flow = it.flow});
+        return;
+    }
+    const bool was_held = known->second.held_by_host;
+    erase(it.flow, now);
+    if (!was_held) {
+        give_back(entry, it, return_reason::unknown_flow);
+        return;
+    }
+    // The host had this flow and has forgotten it: it is a new run.
+    hooks_.report({.severity = event::level::info,
+                   .name = "flow_reset",
+                   .reason = "host_forgot_it",
+                   .flow = it.flow});
+    hooks_.reset(it.flow, it.acknowledged);
+}
+
+void host_relay::deny(machine_address to, const segment& it,
+                      return_reason reason) {
+    if (it.mark.kind == handling::search)
+        hooks_.send(to, flow_not_here{it.flow});
+    else
+        give_back(to, it, reason);
+}
+
+void host_relay::give_back(machine_address to, const segment& it,
+                           return_reason reason) {
+    hooks_.report({.name = "packet_returned",
+                   .reason = to_string(reason),
+                   .flow = it.flow,
+                   .machine = to});
+    hooks_.send(
+        to, packet_returned{reason, {it.datagram.begin(), it.datagram.end()}});
+}
+
+void host_relay::on_host_alive(time_point now) {
+    if (alive_)
+        return;
+    alive_ = true;
+    // A host that has just started has no flow that this process missed.
+    complete_since_ = now - options_.idle_timeout;
+    hooks_.report({.severity = event::level::info, .name = "host_back"});
+    const message report = make_report(now);
+    for (const auto& [machine, it] : entries_)
+        hooks_.send(machine, report);
+}
+
+void host_relay::on_host_dead(time_point now) {
+    if (!alive_)
+        return;
+    alive_ = false;
+    hooks_.report({.severity = event::level::warning,
+                   .name = "host_dead",
+                   .value = flows_.size()});
+    for (const auto& [flow, it] : flows_)
+        if (it.confirmed && !(it.client_closed && it.host_closed))
+            hooks_.reset(flow, it.acknowledged);
+    flows_.clear();
+    offers_.clear();
+    load_.clear(now);
+    const message report = make_report(now);
+    for (const auto& [machine, it] : entries_)
+        hooks_.send(machine, report);
+}
+
+} // namespace arbutusport::relay
--- /dev/null
+++ b/packages/core/src/relay/load_meter.cpp
@@ -0,0 +1,34 @@
+// Decays the mean towards the present number between changes.
+
+#include <arbutusport/relay/load_meter.hpp>
+
+#include <cmath>
+
+namespace arbutusport::relay {
+
+void load_meter::add(int change, time_point now) {
+    advance(now);
+    if (change < 0 && outstanding_ < static_cast<std::uint32_t>(-change))
+        outstanding_ = 0;
+    else
+        outstanding_ += static_cast<std::uint32_t>(change);
+}
+
+void load_meter::clear(time_point now) {
+    advance(now);
+    outstanding_ = 0;
+}
+
+double load_meter::mean(time_point now) {
+    advance(now);
+    return mean_;
+}
+
+void load_meter::advance(time_point now) {
+    const double ratio = std::chrono::duration<double>(now - at_) /
+                         std::chrono::duration<double>(window_);
+    mean_ = outstanding_ + (mean_ - outstanding_) * std::exp(-ratio);
+    at_ = now;
+}
+
+} // namespace arbutusport::relay
--- /dev/null
+++ b/packages/core/src/relay/messages.cpp
@@ -0,0 +1,346 @@
+// Encoding of the relay's messages: one type byte, then the fields.
+
+#include "byte_codec.hpp"
+
+#include <arbutusport/base/hash.hpp>
+#include <arbutusport/relay/messages.hpp>
+
+namespace arbutusport::relay {
+
+namespace {
+
+enum class type : std::uint8_t {
+    hello = 1,
+    load_report,
+    flows_here,
+    flow_not_here,
+    packet_returned,
+    peer_hello,
+    directory_part,
+};
+
+constexpr std::size_t endpoint_bytes = 6;
+constexpr std::size_t flow_bytes = 2 * endpoint_bytes + 8;
+constexpr std::size_t min_route_bytes = endpoint_bytes + 2;
+constexpr std::size_t target_bytes = 12;
+constexpr std::size_t host_bytes = 51;
+
+void put(byte_writer& out, const endpoint& it) {
+    out.put(it.address);
+    out.put(it.port);
+}
+
+endpoint take_endpoint(byte_reader& in) {
+    const auto address = in.take<std::uint32_t>();
+    return {address, in.take<std::uint16_t>()};
+}
+
+void put(byte_writer& out, const flow_key& it) {
+    put(out, it.client);
+    put(out, it.service);
+}
+
+flow_key take_flow(byte_reader& in) {
+    const auto client = take_endpoint(in);
+    return {client, take_endpoint(in)};
+}
+
+void put_count(byte_writer& out, std::size_t n) {
+    out.put(static_cast<std::uint16_t>(n));
+}
+
+void put(byte_writer& out, const std::vector<machine_address>& list) {
+    put_count(out, list.size());
+    for (const machine_address it : list)
+        out.put(it.value());
+}
+
+std::vector<machine_address> take_machines(byte_reader& in) {
+    std::vector<machine_address> out;
+    for (auto n = in.take_count(sizeof(std::uint32_t)); n > 0; --n)
+        out.emplace_back(in.take<std::uint32_t>());
+    return out;
+}
+
+void put_type(byte_writer& out, type it) {
+    out.put(static_cast<std::uint8_t>(it));
+}
+
+void put_flag(byte_writer& out, bool it) {
+    out.put(static_cast<std::uint8_t>(it));
+}
+
+bool take_flag(byte_reader& in) {
+    return in.take<std::uint8_t>() != 0;
+}
+
+void write(byte_writer& out, const hello& it) {
+    put_type(out, type::hello);
+    out.put(it.run.value());
+    out.put(it.data_centre.value());
+    out.put(static_cast<std::uint64_t>(it.idle_timeout.count()));
+    put_flag(out, it.wants_flows);
+}
+
+void write(byte_writer& out, const load_report& it) {
+    put_type(out, type::load_report);
+    out.put(it.run.value());
+    out.put(it.service.value());
+    put_flag(out, it.host_alive);
+    put_flag(out, it.knows_all_flows);
+    out.put(it.outstanding);
+    out.put(it.busy_milli);
+    out.put(it.flows);
+    put(out, it.entries);
+}
+
+void write(byte_writer& out, const flows_here& it) {
+    put_type(out, type::flows_here);
+    put_count(out, it.flows.size());
+    for (const owned_flow& flow : it.flows) {
+        put(out, flow.flow);
+        out.put(flow.client_start);
+        out.put(flow.host_start);
+    }
+}
+
+void write(byte_writer& out, const flow_not_here& it) {
+    put_type(out, type::flow_not_here);
+    put(out, it.flow);
+}
+
+void write(byte_writer& out, const packet_returned& it) {
+    put_type(out, type::packet_returned);
+    out.put(static_cast<std::uint8_t>(it.reason));
+    out.put_bytes(it.datagram);
+}
+
+void write(byte_writer& out, const peer_hello& it) {
+    put_type(out, type::peer_hello);
+    out.put(it.run.value());
+    out.put(it.data_centre.value());
+    out.put(it.as_of.value());
+    out.put(it.digest);
+    put_flag(out, it.needs_directory);
+    put_flag(out, it.is_reply);
+    put(out, it.entries);
+}
+
+void write(byte_writer& out, const directory_part& it) {
+    put_type(out, type::directory_part);
+    out.put(it.as_of.value());
+    out.put(it.digest);
+    out.put(it.index);
+    out.put(it.count);
+    out.put_bytes(it.content);
+}
+
+hello read_hello(byte_reader& in) {
+    hello it;
+    it.run = incarnation(in.take<std::uint64_t>());
+    it.data_centre = data_centre_id(in.take<std::uint64_t>());
+    it.idle_timeout =
+        duration(static_cast<duration::rep>(in.take<std::uint64_t>()));
+    it.wants_flows = take_flag(in);
+    return it;
+}
+
+load_report read_load_report(byte_reader& in) {
+    load_report it;
+    it.run = incarnation(in.take<std::uint64_t>());
+    it.service = service_tag(in.take<std::uint16_t>());
+    it.host_alive = take_flag(in);
+    it.knows_all_flows = take_flag(in);
+    it.outstanding = in.take<std::uint32_t>();
+    it.busy_milli = in.take<std::uint32_t>();
+    it.flows = in.take<std::uint32_t>();
+    it.entries = take_machines(in);
+    return it;
+}
+
+flows_here read_flows_here(byte_reader& in) {
+    flows_here it;
+    for (auto n = in.take_count(flow_bytes); n > 0; --n) {
+        owned_flow flow;
+        flow.flow = take_flow(in);
+        flow.client_start = in.take<std::uint32_t>();
+        flow.host_start = in.take<std::uint32_t>();
+        it.flows.push_back(flow);
+    }
+    return it;
+}
+
+packet_returned read_packet_returned(byte_reader& in) {
+    packet_returned it;
+    it.reason = static_cast<return_reason>(in.take<std::uint8_t>());
+    it.datagram = in.take_rest();
+    return it;
+}
+
+peer_hello read_peer_hello(byte_reader& in) {
+    peer_hello it;
+    it.run = incarnation(in.take<std::uint64_t>());
+    it.data_centre = data_centre_id(in.take<std::uint64_t>());
+    it.as_of = revision(in.take<std::uint64_t>());
+    it.digest = in.take<std::uint64_t>();
+    it.needs_directory = take_flag(in);
+    it.is_reply = take_flag(in);
+    it.entries = take_machines(in);
+    return it;
+}
+
+directory_part read_directory_part(byte_reader& in) {
+    directory_part it;
+    it.as_of = revision(in.take<std::uint64_t>());
+    it.digest = in.take<std::uint64_t>();
+    it.index = in.take<std::uint16_t>();
+    it.count = in.take<std::uint16_t>();
+    it.content = in.take_rest();
+    return it;
+}
+
+message read(type kind, byte_reader& in) {
+    switch (kind) {
+    case type::hello:
+        return read_hello(in);
+    case type::load_report:
+        return read_load_report(in);
+    case type::flows_here:
+        return read_flows_here(in);
+    case type::flow_not_here:
+        return flow_not_here{take_flow(in)};
+    case type::packet_returned:
+        return read_packet_returned(in);
+    case type::peer_hello:
+        return read_peer_hello(in);
+    case type::directory_part:
+        break;
+    }
+    return read_directory_part(in);
+}
+
+leaf::error_id reject(const char* reason) {
+    return fail("decode_relay_message", "", reason);
+}
+
+void write_routing(byte_writer& out, const routing_document& it) {
+    out.put(it.version);
+    out.put(static_cast<std::uint64_t>(it.idle_timeout.count()));
+    put_count(out, it.routes.size());
+    for (const route& one : it.routes) {
+        put(out, one.address);
+        put_count(out, one.targets.size());
+        for (const weighted_service& target : one.targets) {
+            out.put(target.service.value());
+            out.put(target.weight);
+        }
+    }
+}
+
+routing_document read_routing(byte_reader& in) {
+    routing_document it;
+    it.version = in.take<std::uint64_t>();
+    it.idle_timeout =
+        duration(static_cast<duration::rep>(in.take<std::uint64_t>()));
+    for (auto n = in.take_count(min_route_bytes); n > 0; --n) {
+        route one{.address = take_endpoint(in)};
+        for (auto m = in.take_count(target_bytes); m > 0; --m) {
+            const service_id service(in.take<std::uint64_t>());
+            one.targets.push_back({service, in.take<std::uint32_t>()});
+        }
+        it.routes.push_back(std::move(one));
+    }
+    return it;
+}
+
+void write_host(byte_writer& out, const directory_view::host& it) {
+    out.put(it.at.value());
+    out.put(it.record.key.value());
+    out.put(it.record.service.value());
+    put(out, it.record.address);
+    out.put(it.record.data_centre.value());
+    put_flag(out, it.record.draining);
+    out.put(it.record.slots);
+    out.put(static_cast<std::uint64_t>(it.record.warmup_left.count()));
+}
+
+directory_view::host read_host(byte_reader& in) {
+    directory_view::host it;
+    it.at = revision(in.take<std::uint64_t>());
+    it.record.key = host_key(in.take<std::uint64_t>());
+    it.record.service = service_id(in.take<std::uint64_t>());
+    it.record.address = take_endpoint(in);
+    it.record.data_centre = data_centre_id(in.take<std::uint64_t>());
+    it.record.draining = take_flag(in);
+    it.record.slots = in.take<std::uint32_t>();
+    it.record.warmup_left =
+        duration(static_cast<duration::rep>(in.take<std::uint64_t>()));
+    return it;
+}
+
+} // namespace
+
+service_tag tag_of(service_id it) {
+    return service_tag(static_cast<std::uint16_t>(it.value() >> 48));
+}
+
+const char* to_string(return_reason it) {
+    switch (it) {
+    case return_reason::host_refused:
+        return "host_refused";
+    case return_reason::host_dead:
+        return "host_dead";
+    case return_reason::unknown_flow:
+        return "unknown_flow";
+    case return_reason::wrong_service:
+        break;
+    }
+    return "wrong_service";
+}
+
+bytes encode(const message& it) {
+    byte_writer out;
+    std::visit([&](const auto& one) { write(out, one); }, it);
+    return out.take();
+}
+
+result<message> decode(byte_view data) {
+    byte_reader in(data);
+    const auto kind = in.take<std::uint8_t>();
+    if (kind < static_cast<std::uint8_t>(type::hello) ||
+        kind > static_cast<std::uint8_t>(type::directory_part))
+        return reject("unknown type");
+    message out = read(static_cast<type>(kind), in);
+    if (!in.complete())
+        return reject("length");
+    if (const auto* it = std::get_if<packet_returned>(&out))
+        if (it->reason > return_reason::wrong_service)
+            return reject("unknown reason");
+    return out;
+}
+
+bytes encode_view(const directory_view& it) {
+    byte_writer out;
+    out.put(it.as_of.value());
+    out.put(it.routing_at.value());
+    write_routing(out, it.routing);
+    put_count(out, it.hosts.size());
+    for (const auto& host : it.hosts)
+        write_host(out, host);
+    return out.take();
+}
+
+result<directory_view> decode_view(byte_view data) {
+    byte_reader in(data);
+    directory_view it;
+    it.as_of = revision(in.take<std::uint64_t>());
+    it.routing_at = revision(in.take<std::uint64_t>());
+    it.routing = read_routing(in);
+    for (auto n = in.take_count(host_bytes); n > 0; --n)
+        it.hosts.push_back(read_host(in));
+    if (!in.complete())
+        return reject("directory: length");
+    return it;
+}
+
+} // namespace arbutusport::relay
--- /dev/null
+++ b/packages/core/src/relay/placement.cpp
@@ -0,0 +1,80 @@
+// Least expected load, with a preference for the own data centre.
+
+#include <arbutusport/base/hash.hpp>
+#include <arbutusport/relay/placement.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace arbutusport::relay {
+
+namespace {
+
+// Requests in progress that one flow adds, as a mean over the service.
+double load_per_flow(std::span<const candidate> hosts,
+                     const placement_options& options) {
+    double busy = 0;
+    double flows = 0;
+    for (const candidate& it : hosts) {
+        busy += it.busy;
+        flows += it.flows;
+    }
+    return std::max(flows > 0 ? busy / flows : 0, options.default_flow_load);
+}
+
+// Expected requests per slot. Half of the weight is on the flows, because a
+// host whose flows pause just now gets their requests later.
+double expected_load(const candidate& it, double flow_load,
+                     const placement_options& options) {
+    const double requests = 0.5 * it.busy + 0.5 * flow_load * it.flows +
+                            flow_load * it.placed_since;
+    const double waiting =
+        it.outstanding > it.slots ? 0.5 * (it.outstanding - it.slots) : 0;
+    const double slots = std::max<double>(it.slots, 1);
+    const double factor = it.warming_up ? options.warmup_factor : 1;
+    return factor * (requests + waiting) / slots +
+           (it.local ? 0 : options.remote_penalty) +
+           options.unanswered_penalty * it.unanswered;
+}
+
+} // namespace
+
+std::optional<std::size_t> choose_host(std::span<const candidate> hosts,
+                                       std::span<const machine_address> tried,
+                                       std::uint64_t tie_breaker,
+                                       const placement_options& options) {
+    const double flow_load = load_per_flow(hosts, options);
+    using rank = std::tuple<bool, double, std::uint64_t>;
+    std::optional<std::size_t> best;
+    rank best_rank;
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        const candidate& it = hosts[i];
+        if (std::ranges::find(tried, it.machine) != tried.end())
+            continue;
+        const rank own{!it.reachable, expected_load(it, flow_load, options),
+                       hash_combine(tie_breaker, it.machine.value())};
+        if (!best || own < best_rank) {
+            best = i;
+            best_rank = own;
+        }
+    }
+    return best;
+}
+
+std::optional<service_id> choose_service(const route& route,
+                                         std::uint64_t flow_hash) {
+    std::uint64_t total = 0;
+    for (const weighted_service& it : route.targets)
+        total += it.weight;
+    if (total == 0)
+        return std::nullopt;
+    std::uint64_t rest = flow_hash % total;
+    for (const weighted_service& it : route.targets) {
+        if (rest < it.weight)
+            return it.service;
+        rest -= it.weight;
+    }
+    return std::nullopt;
+}
+
+} // namespace arbutusport::relay
--- a/packages/runtime/include/arbutusport/adapters/udp_socket.hpp
+++ b/packages/runtime/include/arbutusport/adapters/udp_socket.hpp
@@ -20,6 +20,8 @@
 class receive_batch {
 public:
     receive_batch();
+    receive_batch(receive_batch&&) noexcept;
+    receive_batch& operator=(receive_batch&&) noexcept;
     ~receive_batch();
 
     std::size_t size() const;
--- a/packages/runtime/src/adapters/udp_socket.cpp
+++ b/packages/runtime/src/adapters/udp_socket.cpp
@@ -60,6 +60,8 @@
 };
 
 receive_batch::receive_batch() : impl_(std::make_unique<impl>()) {}
+receive_batch::receive_batch(receive_batch&&) noexcept = default;
+receive_batch& receive_batch::operator=(receive_batch&&) noexcept = default;
 receive_batch::~receive_batch() = default;
 
 std::size_t receive_batch::size() const {
