Keep the flows of a draining host that closes its listener

Entries now say how the host is registered; only a host that is registered as ready has crashed when it refuses. A draining one has ended when it does not react to any packet for 400 ms.

--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -125,6 +125,7 @@
                      time_point now);
     void on_directory_changed(const char* reason, time_point now);
     bool is_known_machine(machine_address it) const;
+    registration registration_at(machine_address it) const;
     service_tag registered_service(machine_address it) const;
     void report(event it) const;
 
--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -28,6 +28,12 @@
     duration return_timeout = std::chrono::milliseconds(60);
     /// A closed flow is remembered for late packets.
     duration closed_memory = std::chrono::seconds(3);
+    /// A registration that no entry has repeated for this long is unknown;
+    /// hellos come every 400 ms.
+    duration registration_memory = std::chrono::milliseconds(1500);
+    /// A host that accepts no connections and does not react to any packet
+    /// for this long has ended.
+    duration leaving_silence = std::chrono::milliseconds(400);
     /// An entry that is silent for this long gets no announcements.
     duration entry_memory = std::chrono::seconds(5);
     std::size_t max_flows = 200'000;
@@ -60,10 +66,12 @@
 
     /// @brief The host accepts connections.
     void on_host_alive(time_point now);
-    /// @brief Nothing listens at the host's address: its flows are gone.
-    void on_host_dead(time_point now);
+    /// @brief Nothing listens at the host's address. If it was not draining,
+    /// it has crashed and its flows are gone; a draining host may have closed
+    /// its door while it still serves.
+    void on_host_refuses(time_point now);
 
-    bool host_alive() const { return alive_; }
+    host_state state() const { return state_; }
     std::size_t flows() const { return flows_.size(); }
 
 private:
@@ -108,6 +116,10 @@
     void erase(const flow_key& flow, time_point now);
     void announce(const flow_key& flow, const owned& it, time_point now,
                   machine_address also = {});
+    void on_registration(registration it, time_point now);
+    void set_state(host_state it, time_point now);
+    void end_all_flows(time_point now);
+    void deliver(machine_address via, const segment& it, time_point now);
     void set_busy(owned& it, bool busy, time_point now);
     bool knows_all_flows(time_point now) const;
     load_report make_report(time_point now);
@@ -121,7 +133,13 @@
     std::unordered_map<flow_key, offer> offers_;
     std::unordered_map<machine_address, entry> entries_;
     load_meter load_;
-    bool alive_ = true;
+    host_state state_ = host_state::alive;
+    // Entries' last word on the registration, and when it came.
+    registration registered_ = registration::unknown;
+    time_point registered_at_;
+    // When a packet was given to a host that is leaving and nothing has come
+    // from it since.
+    std::optional<time_point> unanswered_since_;
     // From here on every flow of the host was seen to open.
     time_point complete_since_;
     time_point swept_at_;
--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -16,20 +16,37 @@
 /// @brief Address of a machine; every process uses the same ports.
 using machine_address = strong_value<struct machine_address_tag, std::uint32_t>;
 
+/// @brief What the directory says of the host beside a process.
+enum class registration : std::uint8_t {
+    unknown, // the entry cannot read the store now
+    ready,
+    draining,
+    absent,
+};
+
+/// @brief Whether the host beside a process can be reached.
+enum class host_state : std::uint8_t {
+    alive,
+    /// It accepts no connections any more, but may still serve its flows.
+    leaving,
+    dead,
+};
+
 /// @brief Entry to the process beside a host, at a regular interval.
 struct hello {
     incarnation run;
     data_centre_id data_centre;
     duration idle_timeout{};
+    registration registered = registration::unknown;
     /// Asks for all flows that the data centre's entries should know.
     bool wants_flows = false;
 };
 
-/// @brief Answer to a hello, and sent unasked when `host_alive` changes.
+/// @brief Answer to a hello, and sent unasked when `host` changes.
 struct load_report {
     incarnation run;
     service_tag service;
-    bool host_alive = true;
+    host_state host = host_state::alive;
     /// Every flow of the host is known: an unknown flow is not here.
     bool knows_all_flows = false;
     /// Requests in progress or queued at the host.
--- a/packages/core/src/relay/byte_codec.hpp
+++ b/packages/core/src/relay/byte_codec.hpp
@@ -68,6 +68,8 @@
         return n;
     }
 
+    /// @brief What was read has no meaning.
+    void reject() { ok_ = false; }
     bool ok() const { return ok_; }
     /// @brief Everything was read, and nothing was missing.
     bool complete() const { return ok_ && rest_.empty(); }
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -162,10 +162,25 @@
         hooks_.send(machine, hello{.run = options_.run,
                                    .data_centre = options_.data_centre,
                                    .idle_timeout = directory_.idle_timeout(),
+                                   .registered = registration_at(machine),
                                    .wants_flows = !it->sent_flows});
     }
 }
 
+registration entry_relay::registration_at(machine_address machine) const {
+    if (directory_.store_is_lost())
+        return registration::unknown;
+    const directory::host* newest = nullptr;
+    for (const auto& [key, it] : directory_.hosts())
+        if (it.record.address.address == machine.value() &&
+            (newest == nullptr || newest->at < it.at))
+            newest = &it;
+    if (newest == nullptr)
+        return registration::absent;
+    return newest->record.draining ? registration::draining
+                                   : registration::ready;
+}
+
 // Gives opening packets without an answer to further hosts.
 void entry_relay::hedge(time_point now) {
     std::vector<flow_key> ended;
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -26,12 +26,26 @@
     entries_[from] = {hi->data_centre, now};
     if (hi->idle_timeout > duration::zero())
         options_.idle_timeout = hi->idle_timeout;
+    on_registration(hi->registered, now);
     hooks_.send(from, make_report(now));
     if (hi->wants_flows)
         send_flows(from, hi->data_centre, now);
 }
 
+// Entries learn of a drain at different times; a drain is not taken back.
+void host_relay::on_registration(registration it, time_point now) {
+    const bool old = now - registered_at_ > options_.registration_memory;
+    if (it == registration::unknown || (registered_ == registration::draining &&
+                                        !old && it == registration::ready))
+        return;
+    registered_ = it;
+    registered_at_ = now;
+}
+
 void host_relay::on_tick(time_point now) {
+    if (unanswered_since_ &&
+        now - *unanswered_since_ > options_.leaving_silence)
+        end_all_flows(now);
     std::vector<flow_key> held;
     for (auto it = offers_.begin(); it != offers_.end();) {
         if (now < it->second.due) {
@@ -114,7 +128,7 @@
 load_report host_relay::make_report(time_point now) {
     load_report out{.run = options_.run,
                     .service = options_.service,
-                    .host_alive = alive_,
+                    .host = state_,
                     .knows_all_flows = knows_all_flows(now),
                     .outstanding = load_.outstanding(),
                     .busy_milli = static_cast<std::uint32_t>(
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -82,7 +82,7 @@
 
 bool host_peers::host_is_dead(machine_address machine) const {
     const peer* it = find(machine);
-    return it != nullptr && it->heard && !it->report.host_alive;
+    return it != nullptr && it->heard && it->report.host == host_state::dead;
 }
 
 bool host_peers::all_heard(time_point now) const {
@@ -95,7 +95,8 @@
 bool host_peers::is_reachable(const peer& it, time_point now) const {
     if (!it.heard)
         return now - it.known_since < options_.silence_limit;
-    return it.report.host_alive && now - it.heard_at < options_.silence_limit;
+    return it.report.host == host_state::alive &&
+           now - it.heard_at < options_.silence_limit;
 }
 
 std::vector<candidate> host_peers::candidates(const directory& known,
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -23,7 +23,8 @@
         deny(from, it, return_reason::wrong_service);
         return;
     }
-    if (!alive_) {
+    if (state_ == host_state::dead ||
+        (state_ == host_state::leaving && it.opening())) {
         deny(from, it, return_reason::host_dead);
         return;
     }
@@ -47,7 +48,7 @@
     if (it.mark.kind == handling::search)
         announce(it.flow, flow, now, from);
     take_from_client(from, flow, it, now);
-    hooks_.deliver(from, it.datagram);
+    deliver(from, it, now);
 }
 
 void host_relay::on_opening(machine_address from, const segment& it,
@@ -60,7 +61,7 @@
         offers_[it.flow] = {.entry = from,
                             .due = now + options_.confirm_timeout,
                             .sequence = it.sequence};
-    hooks_.deliver(from, it.datagram);
+    deliver(from, it, now);
 }
 
 void host_relay::on_unknown_flow(machine_address from, const segment& it,
@@ -77,7 +78,7 @@
                             .sequence = it.sequence,
                             .acknowledged = it.acknowledged,
                             .searched = searched};
-    hooks_.deliver(from, it.datagram);
+    deliver(from, it, now);
 }
 
 void host_relay::take_from_client(machine_address from, owned& flow,
@@ -97,6 +98,7 @@
 }
 
 void host_relay::on_host(const segment& it, time_point now) {
+    unanswered_since_.reset();
     if (it.returned) {
         on_returned(it, now);
         return;
@@ -209,23 +211,27 @@
 }
 
 void host_relay::on_host_alive(time_point now) {
-    if (alive_)
-        return;
-    alive_ = true;
     // A host that has just started has no flow that this process missed.
-    complete_since_ = now - options_.idle_timeout;
-    hooks_.report({.severity = event::level::info, .name = "host_back"});
-    const message report = make_report(now);
-    for (const auto& [machine, it] : entries_)
-        hooks_.send(machine, report);
+    if (state_ != host_state::alive)
+        complete_since_ = now - options_.idle_timeout;
+    set_state(host_state::alive, now);
 }
 
-void host_relay::on_host_dead(time_point now) {
-    if (!alive_)
+void host_relay::on_host_refuses(time_point now) {
+    const bool registered = registered_ == registration::ready &&
+                            now - registered_at_ < options_.registration_memory;
+    if (state_ != host_state::alive)
         return;
-    alive_ = false;
+    if (registered || flows_.empty())
+        end_all_flows(now);
+    else
+        set_state(host_state::leaving, now);
+}
+
+// The host has ended: clients open new flows at once.
+void host_relay::end_all_flows(time_point now) {
     hooks_.report({.severity = event::level::warning,
-                   .name = "host_dead",
+                   .name = "host_ended",
                    .value = flows_.size()});
     for (const auto& [flow, it] : flows_)
         if (it.confirmed && !(it.client_closed && it.host_closed))
@@ -233,9 +239,28 @@
     flows_.clear();
     offers_.clear();
     load_.clear(now);
+    set_state(host_state::dead, now);
+}
+
+void host_relay::set_state(host_state it, time_point now) {
+    if (state_ == it)
+        return;
+    state_ = it;
+    unanswered_since_.reset();
+    hooks_.report({.severity = event::level::info,
+                   .name = it == host_state::alive     ? "host_back"
+                           : it == host_state::leaving ? "host_leaving"
+                                                       : "host_dead"});
     const message report = make_report(now);
-    for (const auto& [machine, it] : entries_)
+    for (const auto& [machine, one] : entries_)
         hooks_.send(machine, report);
 }
 
+void host_relay::deliver(machine_address via, const segment& it,
+                         time_point now) {
+    if (state_ == host_state::leaving && !unanswered_since_)
+        unanswered_since_ = now;
+    hooks_.deliver(via, it.datagram);
+}
+
 } // namespace arbutusport::relay
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -74,11 +74,21 @@
     return in.take<std::uint8_t>() != 0;
 }
 
+// A value above `last` counts as missing.
+template <class Enum>
+Enum take_enum(byte_reader& in, Enum last) {
+    const auto value = in.take<std::uint8_t>();
+    if (value > static_cast<std::uint8_t>(last))
+        in.reject();
+    return static_cast<Enum>(value);
+}
+
 void write(byte_writer& out, const hello& it) {
     put_type(out, type::hello);
     out.put(it.run.value());
     out.put(it.data_centre.value());
     out.put(static_cast<std::uint64_t>(it.idle_timeout.count()));
+    out.put(static_cast<std::uint8_t>(it.registered));
     put_flag(out, it.wants_flows);
 }
 
@@ -86,7 +96,7 @@
     put_type(out, type::load_report);
     out.put(it.run.value());
     out.put(it.service.value());
-    put_flag(out, it.host_alive);
+    out.put(static_cast<std::uint8_t>(it.host));
     put_flag(out, it.knows_all_flows);
     out.put(it.outstanding);
     out.put(it.busy_milli);
@@ -141,6 +151,7 @@
     it.data_centre = data_centre_id(in.take<std::uint64_t>());
     it.idle_timeout =
         duration(static_cast<duration::rep>(in.take<std::uint64_t>()));
+    it.registered = take_enum(in, registration::absent);
     it.wants_flows = take_flag(in);
     return it;
 }
@@ -149,7 +160,7 @@
     load_report it;
     it.run = incarnation(in.take<std::uint64_t>());
     it.service = service_tag(in.take<std::uint16_t>());
-    it.host_alive = take_flag(in);
+    it.host = take_enum(in, host_state::dead);
     it.knows_all_flows = take_flag(in);
     it.outstanding = in.take<std::uint32_t>();
     it.busy_milli = in.take<std::uint32_t>();
@@ -172,7 +183,7 @@
 
 packet_returned read_packet_returned(byte_reader& in) {
     packet_returned it;
-    it.reason = static_cast<return_reason>(in.take<std::uint8_t>());
+    it.reason = take_enum(in, return_reason::wrong_service);
     it.datagram = in.take_rest();
     return it;
 }
@@ -313,9 +324,6 @@
     message out = read(static_cast<type>(kind), in);
     if (!in.complete())
         return reject("length");
-    if (const auto* it = std::get_if<packet_returned>(&out))
-        if (it->reason > return_reason::wrong_service)
-            return reject("unknown reason");
     return out;
 }
 
