--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -117,6 +117,7 @@
     search_targets(const flow_key& flow) const;
     void conclude_nowhere(const flow_key& flow, std::uint32_t acknowledged);
     void hedge(time_point now);
+    peer_entries::standing standing() const;
     void send_hellos(time_point now);
 
     void on_report(machine_address from, const load_report& it, time_point now);
@@ -126,7 +127,6 @@
     void on_directory_changed(const char* reason, time_point now);
     bool is_known_machine(machine_address it) const;
     registration registration_at(machine_address it) const;
-    service_tag registered_service(machine_address it) const;
     void report(event it) const;
 
     entry_relay_options options_;
--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -4,9 +4,11 @@
 
 #include <arbutusport/relay/directory.hpp>
 #include <arbutusport/relay/messages.hpp>
+#include <arbutusport/relay/owner_search.hpp>
 #include <arbutusport/relay/placement.hpp>
 
 #include <cstdint>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -18,6 +20,10 @@
     duration hello_interval = std::chrono::milliseconds(400);
     /// A process that was silent for three hellos is not used for new flows.
     duration silence_limit = std::chrono::milliseconds(1300);
+    /// A host may serve its flows for many seconds after its registration
+    /// vanished; the process beside it ends with it. A process without a
+    /// registered host is forgotten when it was silent for this long.
+    duration departed_silence = std::chrono::seconds(3);
     /// After this time an unanswered opening no longer counts.
     duration unanswered_memory = std::chrono::seconds(2);
 };
@@ -25,7 +31,10 @@
 class host_peers {
 public:
     struct peer {
+        bool registered = true;
         bool heard = false;
+        /// Of the registration, until the process reports its own.
+        service_tag service;
         time_point heard_at;
         time_point known_since;
         time_point hello_at;
@@ -39,8 +48,13 @@
 
     explicit host_peers(host_peer_options options = {}) : options_(options) {}
 
-    /// @brief Keeps exactly the machines of the directory's hosts.
+    /// @brief Adds the machines of the directory's hosts; others are kept
+    /// while they answer.
     void follow(const directory& known, time_point now);
+    /// @brief Another entry knows a process without a registered host.
+    void learn_departed(const departed_host& it, time_point now);
+    /// @brief Those that answered this process lately.
+    std::vector<departed_host> departed() const;
     /// @brief Machines whose hello is due; they count as sent.
     std::vector<machine_address> take_due(time_point now);
     void on_report(machine_address from, const load_report& it, time_point now);
@@ -55,12 +69,16 @@
     bool host_is_dead(machine_address machine) const;
     /// @brief Every known process answered a first hello, or is silent.
     bool all_heard(time_point now) const;
+    /// @brief Everybody who may own a flow of one of these services.
+    std::vector<owner_search::target>
+    possible_owners(std::span<const service_tag> services) const;
     /// @brief The hosts of a service that may get new flows.
     std::vector<candidate> candidates(const directory& known,
                                       service_id service, data_centre_id own,
                                       time_point now) const;
 
 private:
+    void forget_departed(time_point now);
     bool is_reachable(const peer& it, time_point now) const;
 
     host_peer_options options_;
--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -90,6 +90,12 @@
     bytes datagram;
 };
 
+/// @brief A process whose host is no longer registered but may still serve.
+struct departed_host {
+    machine_address machine;
+    service_tag service;
+};
+
 /// @brief Entry to entry, at a regular interval.
 struct peer_hello {
     incarnation run;
@@ -100,6 +106,7 @@
     bool needs_directory = false;
     bool is_reply = false;
     std::vector<machine_address> entries;
+    std::vector<departed_host> departed;
 };
 
 /// @brief Part of an encoded directory_view.
--- a/packages/core/include/arbutusport/relay/peer_entries.hpp
+++ b/packages/core/include/arbutusport/relay/peer_entries.hpp
@@ -29,13 +29,19 @@
 
 class peer_entries {
 public:
+    /// @brief What a hello says of this process.
+    struct standing {
+        const directory& known;
+        bool store_lost = false;
+        std::vector<departed_host> departed;
+    };
     using send = std::function<void(machine_address, const message&)>;
 
     peer_entries(peer_entry_options options, send send_message);
 
-    void on_tick(const directory& known, bool store_lost, time_point now);
+    void on_tick(const standing& own, time_point now);
     void on_hello(machine_address from, const peer_hello& it,
-                  const directory& known, bool store_lost, time_point now);
+                  const standing& own, time_point now);
     /// @brief A complete view, once its last part has arrived.
     std::optional<directory_view> on_part(machine_address from,
                                           const directory_part& it);
@@ -62,8 +68,8 @@
         std::map<std::uint16_t, bytes> parts;
     };
 
-    peer_hello make_hello(const directory& known, bool store_lost,
-                          bool is_reply, time_point now) const;
+    peer_hello make_hello(const standing& own, bool is_reply,
+                          time_point now) const;
     void compare(peer& it, const directory& known, time_point now) const;
     void send_view(machine_address to, const directory& known) const;
 
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -39,8 +39,9 @@
             },
             [&](const packet_returned& one) { on_returned(from, one, now); },
             [&](const peer_hello& one) {
-                entries_.on_hello(from, one, directory_,
-                                  directory_.store_is_lost(), now);
+                for (const departed_host& host : one.departed)
+                    peers_.learn_departed(host, now);
+                entries_.on_hello(from, one, standing(), now);
             },
             [&](const directory_part& one) {
                 const auto view = entries_.on_part(from, one);
@@ -74,11 +75,10 @@
         known->other_start = it.host_start;
     } else {
         const auto* peer = peers_.find(from);
-        const auto service = peer != nullptr && peer->heard
-                                 ? peer->report.service
-                                 : registered_service(from);
+        if (peer == nullptr)
+            return;
         hints_.put(it.flow, {.owner = from,
-                             .service = service,
+                             .service = peer->service,
                              .client_start = it.client_start,
                              .host_start = it.host_start});
     }
@@ -146,7 +146,7 @@
     if (directory_.digest() != digest_seen_)
         on_directory_changed("lapsed", now);
     send_hellos(now);
-    entries_.on_tick(directory_, directory_.store_is_lost(), now);
+    entries_.on_tick(standing(), now);
     if (entries_.is_behind(directory_, stuck_limit, now) &&
         now - read_again_at_ > read_again_interval) {
         read_again_at_ = now;
@@ -156,6 +156,10 @@
     search_.on_tick(now);
 }
 
+peer_entries::standing entry_relay::standing() const {
+    return {directory_, directory_.store_is_lost(), peers_.departed()};
+}
+
 void entry_relay::send_hellos(time_point now) {
     for (const machine_address machine : peers_.take_due(now)) {
         const auto* it = peers_.find(machine);
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -183,25 +183,16 @@
 }
 
 // Every host of the services that the route names may own the flow, draining
-// ones as well.
+// and departed ones as well.
 std::vector<owner_search::target>
 entry_relay::search_targets(const flow_key& flow) const {
-    std::vector<owner_search::target> out;
     const route* way = directory_.find_route(flow.service);
     if (way == nullptr)
-        return out;
-    for (const auto& [key, host] : directory_.hosts()) {
-        const machine_address machine(host.record.address.address);
-        const bool named =
-            std::ranges::any_of(way->targets, [&](const auto& it) {
-                return it.service == host.record.service;
-            });
-        const bool listed = std::ranges::any_of(
-            out, [&](const auto& it) { return it.machine == machine; });
-        if (named && !listed && !peers_.host_is_dead(machine))
-            out.push_back({machine, tag_of(host.record.service)});
-    }
-    return out;
+        return {};
+    std::vector<service_tag> services;
+    for (const weighted_service& it : way->targets)
+        services.push_back(tag_of(it.service));
+    return peers_.possible_owners(services);
 }
 
 void entry_relay::conclude_nowhere(const flow_key& flow,
@@ -222,13 +213,6 @@
     return peers_.find(machine) != nullptr;
 }
 
-service_tag entry_relay::registered_service(machine_address machine) const {
-    for (const auto& [key, host] : directory_.hosts())
-        if (host.record.address.address == machine.value())
-            return tag_of(host.record.service);
-    return {};
-}
-
 void entry_relay::report(event it) const {
     hooks_.report(it);
 }
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -2,21 +2,55 @@
 
 #include <arbutusport/relay/host_peers.hpp>
 
-#include <unordered_set>
+#include <algorithm>
 
 namespace arbutusport::relay {
 
+namespace {
+
+// Fits the hello between entries into one frame.
+constexpr std::size_t max_named_departed = 64;
+
+} // namespace
+
 void host_peers::follow(const directory& known, time_point now) {
-    std::unordered_set<machine_address> machines;
-    for (const auto& [key, it] : known.hosts())
-        machines.insert(machine_address(it.record.address.address));
-    std::erase_if(peers_,
-                  [&](const auto& it) { return !machines.contains(it.first); });
-    for (const machine_address it : machines)
-        peers_.try_emplace(it, peer{.known_since = now});
+    for (auto& [machine, it] : peers_)
+        it.registered = false;
+    for (const auto& [key, it] : known.hosts()) {
+        const machine_address machine(it.record.address.address);
+        peer& one =
+            peers_.try_emplace(machine, peer{.known_since = now}).first->second;
+        one.registered = true;
+        one.service = tag_of(it.record.service);
+    }
+    forget_departed(now);
+}
+
+void host_peers::forget_departed(time_point now) {
+    std::erase_if(peers_, [&](const auto& it) {
+        const peer& one = it.second;
+        return !one.registered &&
+               now - (one.heard ? one.heard_at : one.known_since) >
+                   options_.departed_silence;
+    });
+}
+
+void host_peers::learn_departed(const departed_host& it, time_point now) {
+    peers_.try_emplace(
+        it.machine,
+        peer{.registered = false, .service = it.service, .known_since = now});
+}
+
+std::vector<departed_host> host_peers::departed() const {
+    std::vector<departed_host> out;
+    for (const auto& [machine, it] : peers_)
+        if (!it.registered && it.heard && out.size() < max_named_departed)
+            out.push_back({machine, it.service});
+    return out;
 }
 
 std::vector<machine_address> host_peers::take_due(time_point now) {
+    forget_departed(now);
     std::vector<machine_address> due;
     for (auto& [machine, it] : peers_) {
         if (now - it.hello_at < options_.hello_interval)
@@ -38,6 +72,7 @@
     known.heard = true;
     known.heard_at = now;
     known.report = report;
+    known.service = report.service;
     known.placed_since = 0;
     if (now - known.unanswered_at > options_.unanswered_memory)
         known.unanswered = 0;
@@ -99,6 +134,17 @@
            now - it.heard_at < options_.silence_limit;
 }
 
+std::vector<owner_search::target>
+host_peers::possible_owners(std::span<const service_tag> services) const {
+    std::vector<owner_search::target> out;
+    for (const auto& [machine, it] : peers_) {
+        const bool dead = it.heard && it.report.host == host_state::dead;
+        if (!dead && std::ranges::find(services, it.service) != services.end())
+            out.push_back({machine, it.service});
+    }
+    return out;
+}
+
 std::vector<candidate> host_peers::candidates(const directory& known,
                                               service_id service,
                                               data_centre_id own,
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t flow_bytes = 2 * endpoint_bytes + 8;
 constexpr std::size_t min_route_bytes = endpoint_bytes + 2;
 constexpr std::size_t target_bytes = 12;
+constexpr std::size_t departed_bytes = 6;
 constexpr std::size_t host_bytes = 51;
 
 void put(byte_writer& out, const endpoint& it) {
@@ -134,6 +135,11 @@
     put_flag(out, it.needs_directory);
     put_flag(out, it.is_reply);
     put(out, it.entries);
+    put_count(out, it.departed.size());
+    for (const departed_host& one : it.departed) {
+        out.put(one.machine.value());
+        out.put(one.service.value());
+    }
 }
 
 void write(byte_writer& out, const directory_part& it) {
@@ -197,6 +203,10 @@
     it.needs_directory = take_flag(in);
     it.is_reply = take_flag(in);
     it.entries = take_machines(in);
+    for (auto n = in.take_count(departed_bytes); n > 0; --n) {
+        const machine_address machine(in.take<std::uint32_t>());
+        it.departed.push_back({machine, service_tag(in.take<std::uint16_t>())});
+    }
     return it;
 }
 
--- a/packages/core/src/relay/peer_entries.cpp
+++ b/packages/core/src/relay/peer_entries.cpp
@@ -22,8 +22,7 @@
 peer_entries::peer_entries(peer_entry_options options, send send_message)
     : options_(std::move(options)), send_(std::move(send_message)) {}
 
-void peer_entries::on_tick(const directory& known, bool store_lost,
-                           time_point now) {
+void peer_entries::on_tick(const standing& own, time_point now) {
     if (now - round_at_ < options_.hello_interval)
         return;
     round_at_ = now;
@@ -35,7 +34,7 @@
             std::ranges::find(options_.seeds, it.first) != options_.seeds.end();
         return !is_seed && now - it.second.heard_at > options_.memory;
     });
-    const message hello = make_hello(known, store_lost, false, now);
+    const message hello = make_hello(own, false, now);
     auto it = peers_.lower_bound(next_);
     for (std::size_t n = std::min(peers_.size(), options_.max_hellos); n > 0;
          --n) {
@@ -49,8 +48,8 @@
 }
 
 void peer_entries::on_hello(machine_address from, const peer_hello& hello,
-                            const directory& known, bool store_lost,
-                            time_point now) {
+                            const standing& own, time_point now) {
+    const directory& known = own.known;
     for (const machine_address it : hello.entries)
         learn(it, now);
     peer& it = peers_[from];
@@ -59,7 +58,7 @@
     it.digest = hello.digest;
     compare(it, known, now);
     if (!hello.is_reply)
-        send_(from, make_hello(known, store_lost, true, now));
+        send_(from, make_hello(own, true, now));
     const bool has_newer = known.ready() && known.as_of() > hello.as_of &&
                            known.digest() != hello.digest;
     if (!has_newer)
@@ -124,15 +123,17 @@
     return out;
 }
 
-peer_hello peer_entries::make_hello(const directory& known, bool store_lost,
-                                    bool is_reply, time_point now) const {
+peer_hello peer_entries::make_hello(const standing& own, bool is_reply,
+                                    time_point now) const {
+    const directory& known = own.known;
     return {.run = options_.run,
             .data_centre = options_.data_centre,
             .as_of = known.as_of(),
             .digest = known.digest(),
-            .needs_directory = !known.ready() || store_lost,
+            .needs_directory = !known.ready() || own.store_lost,
             .is_reply = is_reply,
-            .entries = live(now)};
+            .entries = live(now),
+            .departed = own.departed};
 }
 
 void peer_entries::compare(peer& it, const directory& known,
