Search for a flow's owner in two stages and within a budget

Answers got lost, so no search ended, and directories and announcements were lost too. Entries also sent their directory to every peer that lagged.

Flows are placed at one of six hosts by rank, so the packet goes to eight likely owners first; the others get short queries, many flows in one. Denials are remembered, searches use a quarter of the link, a directory is asked of one peer at a time, and a process whose host has just started knows all its flows.

--- a/packages/core/include/arbutusport/base/ids.hpp
+++ b/packages/core/include/arbutusport/base/ids.hpp
@@ -29,6 +29,11 @@
 /// @brief A message authentication key.
 using key_id = strong_value<struct key_id_tag, std::uint8_t>;
 
+/// @brief A time of some machine's wall clock. Clocks differ between machines
+/// and may jump, so no decision depends on it alone.
+using unix_milliseconds =
+    strong_value<struct unix_milliseconds_tag, std::uint64_t>;
+
 /// @brief Orders configurations; the greater one is newer.
 struct generation {
     std::uint32_t epoch = 0;
--- a/packages/core/include/arbutusport/relay/directory.hpp
+++ b/packages/core/include/arbutusport/relay/directory.hpp
@@ -62,6 +62,8 @@
     std::uint32_t slots = 1;
     /// For how long the host stays slow after its start.
     duration warmup_left{};
+    /// By the host's clock; 0 if unknown.
+    unix_milliseconds started{};
 
     friend bool operator==(const host_record&, const host_record&) = default;
 };
--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -32,6 +32,9 @@
     /// An opening packet is forgotten after this time; clients give up after
     /// 1.4 s.
     duration open_timeout = std::chrono::milliseconds(1500);
+    /// After its start an entry calls no flow lost for this long: hellos of
+    /// other entries, which name departed hosts, take a round trip of 15 ms.
+    duration start_delay = std::chrono::milliseconds(150);
     /// Hosts that one opening packet is sent to without a copy by the client.
     std::size_t max_hedges = 2;
     /// Hosts that may send one opening packet back before the client is told.
@@ -126,7 +129,7 @@
                      time_point now);
     void on_directory_changed(const char* reason, time_point now);
     bool is_known_machine(machine_address it) const;
-    registration registration_at(machine_address it) const;
+    const directory::host* registered_host(machine_address it) const;
     void report(event it) const;
 
     entry_relay_options options_;
--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -24,6 +24,9 @@
     /// vanished; the process beside it ends with it. A process without a
     /// registered host is forgotten when it was silent for this long.
     duration departed_silence = std::chrono::seconds(3);
+    /// Hosts of the own data centre where a flow is looked for first; some
+    /// more than it may be placed at, since ranks move when hosts change.
+    std::size_t likely_owners = 8;
     /// After this time an unanswered opening no longer counts.
     duration unanswered_memory = std::chrono::seconds(2);
 };
@@ -35,6 +38,7 @@
         bool heard = false;
         /// Of the registration, until the process reports its own.
         service_tag service;
+        data_centre_id data_centre;
         time_point heard_at;
         time_point known_since;
         time_point hello_at;
@@ -71,7 +75,8 @@
     bool all_heard(time_point now) const;
     /// @brief Everybody who may own a flow of one of these services.
     std::vector<owner_search::target>
-    possible_owners(std::span<const service_tag> services) const;
+    possible_owners(std::span<const service_tag> services, data_centre_id own,
+                    std::uint64_t flow_hash) const;
     /// @brief The hosts of a service that may get new flows.
     std::vector<candidate> candidates(const directory& known,
                                       service_id service, data_centre_id own,
--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -18,6 +18,12 @@
 struct host_relay_options {
     incarnation run;
     service_tag service;
+    /// When this process started, by the machine's clock.
+    unix_milliseconds started{};
+    /// A host that started at most this long before this process has no flow
+    /// from a time of an earlier process: a process is started again only
+    /// half a second after its end.
+    std::uint64_t restart_gap_ms = 400;
     /// Until an entry tells the configured value.
     duration idle_timeout = std::chrono::seconds(15);
     /// An accepted opening that the client does not confirm in this time is
@@ -116,6 +122,7 @@
     void erase(const flow_key& flow, time_point now);
     void announce(const flow_key& flow, const owned& it, time_point now,
                   machine_address also = {});
+    void on_query(machine_address from, const flow_query& it, time_point now);
     void on_registration(registration it, time_point now);
     void set_state(host_state it, time_point now);
     void end_all_flows(time_point now);
--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -38,6 +38,8 @@
     data_centre_id data_centre;
     duration idle_timeout{};
     registration registered = registration::unknown;
+    /// When the registered host started, by its clock; 0 if unknown.
+    unix_milliseconds host_started{};
     /// Asks for all flows that the data centre's entries should know.
     bool wants_flows = false;
 };
@@ -70,9 +72,17 @@
     std::vector<owned_flow> flows;
 };
 
-/// @brief Answer to a searched packet: "my host does not have this flow."
-struct flow_not_here {
-    flow_key flow;
+/// @brief Entry to the process beside a host: "does your host have these?"
+struct flow_query {
+    std::vector<flow_key> flows;
+};
+
+/// @brief Answer to a query or to a searched packet. Flows that the host has
+/// come as flows_here.
+struct flow_denial {
+    std::vector<flow_key> not_here;
+    /// Older than the process: only the host knows.
+    std::vector<flow_key> unsure;
 };
 
 enum class return_reason : std::uint8_t {
@@ -102,13 +112,14 @@
     data_centre_id data_centre;
     revision as_of;
     std::uint64_t digest = 0;
-    /// The sender has no routes yet or cannot read the store.
-    bool needs_directory = false;
     bool is_reply = false;
     std::vector<machine_address> entries;
     std::vector<departed_host> departed;
 };
 
+/// @brief Entry to entry: "send me your directory."
+struct directory_request {};
+
 /// @brief Part of an encoded directory_view.
 struct directory_part {
     revision as_of;
@@ -118,8 +129,9 @@
     bytes content;
 };
 
-using message = std::variant<hello, load_report, flows_here, flow_not_here,
-                             packet_returned, peer_hello, directory_part>;
+using message = std::variant<hello, load_report, flows_here, flow_query,
+                             flow_denial, packet_returned, peer_hello,
+                             directory_request, directory_part>;
 
 bytes encode(const message& it);
 
--- a/packages/core/include/arbutusport/relay/peer_entries.hpp
+++ b/packages/core/include/arbutusport/relay/peer_entries.hpp
@@ -1,5 +1,6 @@
 // The other entries: who they are, and whose directory is newer. An entry
-// that cannot read the store learns the directory from them.
+// that cannot read the store, or whose reading is slow, takes the directory
+// from one of them.
 #pragma once
 
 #include <arbutusport/relay/directory.hpp>
@@ -7,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace arbutusport::relay {
@@ -22,9 +24,13 @@
     std::size_t max_hellos = 8;
     /// A peer that is silent for this long is forgotten; seeds are not.
     duration memory = std::chrono::seconds(10);
-    /// A peer with an older directory gets ours after this time: its own
-    /// reading of the store normally brings it sooner.
-    duration behind_limit = std::chrono::milliseconds(400);
+    /// A directory that is older than a peer's for this long is asked for;
+    /// the own reading of the store normally brings it sooner.
+    duration behind_limit = std::chrono::milliseconds(500);
+    /// Between two requests for a directory; doubles while none arrives, so
+    /// that a full link is not filled further.
+    duration request_interval = std::chrono::milliseconds(200);
+    duration max_request_interval = std::chrono::seconds(3);
 };
 
 class peer_entries {
@@ -42,27 +48,23 @@
     void on_tick(const standing& own, time_point now);
     void on_hello(machine_address from, const peer_hello& it,
                   const standing& own, time_point now);
+    void on_request(machine_address from, const directory& known);
     /// @brief A complete view, once its last part has arrived.
     std::optional<directory_view> on_part(machine_address from,
                                           const directory_part& it);
     /// @brief Learns of an entry by hearsay.
     void learn(machine_address machine, time_point now);
-    /// @brief Some peer has had a newer directory with other contents for
-    /// longer than `limit`: this process's own reading is stuck.
-    bool is_behind(const directory& known, duration limit,
-                   time_point now) const;
+    /// @brief Some peer has a newer directory with other contents, and the
+    /// own one has not moved for `limit`: the own reading is stuck.
+    bool is_stuck(const directory& known, duration limit, time_point now) const;
     std::vector<machine_address> live(time_point now) const;
 
 private:
     struct peer {
         time_point heard_at;
-        time_point hello_at;
+        data_centre_id data_centre;
         revision as_of;
         std::uint64_t digest = 0;
-        // Since when its directory is older than ours, and newer.
-        std::optional<time_point> behind_since;
-        std::optional<time_point> ahead_since;
-        time_point sent_view_at;
         // Parts received so far of the view that they name.
         directory_part receiving;
         std::map<std::uint16_t, bytes> parts;
@@ -70,8 +72,10 @@
 
     peer_hello make_hello(const standing& own, bool is_reply,
                           time_point now) const;
-    void compare(peer& it, const directory& known, time_point now) const;
-    void send_view(machine_address to, const directory& known) const;
+    void send_hellos(const standing& own, time_point now);
+    void request_directory(const standing& own, time_point now);
+    std::optional<machine_address> newer_peer(const directory& known,
+                                              time_point now) const;
 
     peer_entry_options options_;
     send send_;
@@ -79,6 +83,13 @@
     // The next peer to get a hello, so that all get one in turn.
     machine_address next_;
     time_point round_at_;
+    // The own directory's revision, and when it last moved.
+    revision own_as_of_;
+    time_point moved_at_;
+    // Since when some peer has been ahead.
+    std::optional<time_point> behind_since_;
+    time_point request_due_;
+    duration request_pause_{};
 };
 
 } // namespace arbutusport::relay
--- a/packages/core/include/arbutusport/relay/placement.hpp
+++ b/packages/core/include/arbutusport/relay/placement.hpp
@@ -40,10 +40,25 @@
     double warmup_factor = 1.6;
     /// Requests per slot that one unanswered opening counts as.
     double unanswered_penalty = 1.0;
+    /// A flow is placed at one of this many hosts of each kind, local and
+    /// remote, so that its owner can be found by asking few. The best of six
+    /// is close to the best of all.
+    std::size_t ranked_hosts = 6;
     /// Requests in progress that a flow adds when nothing was measured yet.
     double default_flow_load = 0.02;
 };
 
+/// @brief Order in which hosts are considered for a flow; the lowest first.
+/// Alike in every process, and changed little by a change of hosts.
+std::uint64_t placement_rank(std::uint64_t flow_hash, machine_address machine);
+
+/// @brief The hosts among which a flow is placed: the first by rank of the
+/// local ones and of the remote ones; unreachable ones only if there is no
+/// other.
+std::vector<candidate> ranked_hosts(std::vector<candidate> hosts,
+                                    std::uint64_t flow_hash,
+                                    const placement_options& options = {});
+
 /// @brief Index of the host with the least expected load among those not in
 /// `tried`; unreachable hosts only if there is no other. Empty if all were
 /// tried. Equal hosts are chosen by `tie_breaker`.
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -16,8 +16,8 @@
 // Processes beside hosts get this long to send the flows that they have,
 // before an entry that has just started takes traffic.
 constexpr duration flows_wait = std::chrono::milliseconds(300);
-// A peer's directory is newer for this long: our own reading is stuck. Two
-// readings of one change lie some milliseconds apart.
+// Peers are ahead and the own directory has not moved for this long: the own
+// reading is stuck. Readings of one change lie some milliseconds apart.
 constexpr duration stuck_limit = std::chrono::milliseconds(700);
 // At most one repeated reading in this time, because calls are limited.
 constexpr duration read_again_interval = std::chrono::seconds(2);
@@ -34,8 +34,11 @@
                     on_flow(from, flow);
                 peers_.on_flows(from);
             },
-            [&](const flow_not_here& one) {
-                search_.on_not_here(from, one.flow, now);
+            [&](const flow_denial& one) {
+                for (const flow_key& flow : one.not_here)
+                    search_.on_not_here(from, flow, now);
+                for (const flow_key& flow : one.unsure)
+                    search_.on_unsure(from, flow, now);
             },
             [&](const packet_returned& one) { on_returned(from, one, now); },
             [&](const peer_hello& one) {
@@ -43,13 +46,16 @@
                     peers_.learn_departed(host, now);
                 entries_.on_hello(from, one, standing(), now);
             },
+            [&](const directory_request&) {
+                entries_.on_request(from, directory_);
+            },
             [&](const directory_part& one) {
                 const auto view = entries_.on_part(from, one);
                 if (view && directory_.adopt_view(*view, now))
                     on_directory_changed("from_peer", now);
             },
-            [&](const hello&) {
-                report({.name = "dropped", .reason = "hello_to_entry"});
+            [&](const auto&) {
+                report({.name = "dropped", .reason = "unexpected_message"});
             }},
         it);
 }
@@ -85,7 +91,7 @@
     peers_.on_answered(from);
     openings_.erase(it.flow);
     const relay_mark mark{handling::forward, hints_.find(it.flow)->service};
-    for (const bytes& packet : search_.on_found(it.flow))
+    for (const bytes& packet : search_.on_found(it.flow, from))
         hooks_.forward(from, mark, packet);
 }
 
@@ -147,7 +153,7 @@
         on_directory_changed("lapsed", now);
     send_hellos(now);
     entries_.on_tick(standing(), now);
-    if (entries_.is_behind(directory_, stuck_limit, now) &&
+    if (entries_.is_stuck(directory_, stuck_limit, now) &&
         now - read_again_at_ > read_again_interval) {
         read_again_at_ = now;
         hooks_.read_again("behind_peers");
@@ -162,27 +168,30 @@
 
 void entry_relay::send_hellos(time_point now) {
     for (const machine_address machine : peers_.take_due(now)) {
-        const auto* it = peers_.find(machine);
-        hooks_.send(machine, hello{.run = options_.run,
-                                   .data_centre = options_.data_centre,
-                                   .idle_timeout = directory_.idle_timeout(),
-                                   .registered = registration_at(machine),
-                                   .wants_flows = !it->sent_flows});
+        hello it{.run = options_.run,
+                 .data_centre = options_.data_centre,
+                 .idle_timeout = directory_.idle_timeout(),
+                 .wants_flows = !peers_.find(machine)->sent_flows};
+        const directory::host* host = registered_host(machine);
+        if (host != nullptr)
+            it.host_started = host->record.started;
+        if (!directory_.store_is_lost())
+            it.registered = host == nullptr         ? registration::absent
+                            : host->record.draining ? registration::draining
+                                                    : registration::ready;
+        hooks_.send(machine, it);
     }
 }
 
-registration entry_relay::registration_at(machine_address machine) const {
-    if (directory_.store_is_lost())
-        return registration::unknown;
+// The newest record at the machine, of whichever service.
+const directory::host*
+entry_relay::registered_host(machine_address machine) const {
     const directory::host* newest = nullptr;
     for (const auto& [key, it] : directory_.hosts())
         if (it.record.address.address == machine.value() &&
             (newest == nullptr || newest->at < it.at))
             newest = &it;
-    if (newest == nullptr)
-        return registration::absent;
-    return newest->record.draining ? registration::draining
-                                   : registration::ready;
+    return newest;
 }
 
 // Gives opening packets without an answer to further hosts.
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -25,6 +25,10 @@
                    hooks_.forward(to.machine, {handling::search, to.service},
                                   datagram);
                },
+           .query =
+               [this](machine_address to, std::vector<flow_key> flows) {
+                   hooks_.send(to, flow_query{std::move(flows)});
+               },
            .nowhere =
                [this](const flow_key& it, std::uint32_t acknowledged) {
                    conclude_nowhere(it, acknowledged);
@@ -121,8 +125,9 @@
         return std::nullopt;
     }
     it.service = tag_of(*service);
-    const auto hosts =
-        peers_.candidates(directory_, *service, options_.data_centre, now);
+    const auto hosts = ranked_hosts(
+        peers_.candidates(directory_, *service, options_.data_centre, now),
+        hash, options_.placement);
     auto best = choose_host(hosts, it.tried, hash, options_.placement);
     if (!best && !it.tried.empty()) {
         it.tried.clear();
@@ -176,7 +181,10 @@
     if (it.rst)
         return;
     const bool fresh = !search_.active(it.flow);
-    if (!search_.add(it, denied, now))
+    // An entry that has just started hears of departed hosts from others.
+    const time_point not_before =
+        directory_at_ ? *directory_at_ + options_.start_delay : now;
+    if (!search_.add(it, denied, now, not_before))
         report({.name = "dropped", .reason = "search_full", .flow = it.flow});
     else if (fresh)
         report({.name = "owner_searched", .flow = it.flow});
@@ -192,7 +200,8 @@
     std::vector<service_tag> services;
     for (const weighted_service& it : way->targets)
         services.push_back(tag_of(it.service));
-    return peers_.possible_owners(services);
+    return peers_.possible_owners(services, options_.data_centre,
+                                  hash_of(flow));
 }
 
 void entry_relay::conclude_nowhere(const flow_key& flow,
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -16,6 +16,10 @@
 
 void host_relay::on_message(machine_address from, const message& it,
                             time_point now) {
+    if (const auto* query = std::get_if<flow_query>(&it)) {
+        on_query(from, *query, now);
+        return;
+    }
     const auto* hi = std::get_if<hello>(&it);
     if (hi == nullptr) {
         hooks_.report({.name = "dropped",
@@ -27,11 +31,33 @@
     if (hi->idle_timeout > duration::zero())
         options_.idle_timeout = hi->idle_timeout;
     on_registration(hi->registered, now);
+    if (hi->host_started.value() + options_.restart_gap_ms >=
+        options_.started.value())
+        complete_since_ = now - options_.idle_timeout;
     hooks_.send(from, make_report(now));
     if (hi->wants_flows)
         send_flows(from, hi->data_centre, now);
 }
 
+void host_relay::on_query(machine_address from, const flow_query& it,
+                          time_point now) {
+    flow_denial denial;
+    flows_here here;
+    auto& others = knows_all_flows(now) ? denial.not_here : denial.unsure;
+    for (const flow_key& flow : it.flows) {
+        const auto known = flows_.find(flow);
+        if (known == flows_.end() || state_ == host_state::dead)
+            others.push_back(flow);
+        else
+            here.flows.push_back(
+                {flow, known->second.client_start, known->second.host_start});
+    }
+    if (!here.flows.empty())
+        hooks_.send(from, here);
+    if (!denial.not_here.empty() || !denial.unsure.empty())
+        hooks_.send(from, denial);
+}
+
 // Entries learn of a drain at different times; a drain is not taken back.
 void host_relay::on_registration(registration it, time_point now) {
     const bool old = now - registered_at_ > options_.registration_memory;
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -22,6 +22,7 @@
             peers_.try_emplace(machine, peer{.known_since = now}).first->second;
         one.registered = true;
         one.service = tag_of(it.record.service);
+        one.data_centre = it.record.data_centre;
     }
     forget_departed(now);
 }
@@ -135,13 +136,25 @@
 }
 
 std::vector<owner_search::target>
-host_peers::possible_owners(std::span<const service_tag> services) const {
+host_peers::possible_owners(std::span<const service_tag> services,
+                            data_centre_id own, std::uint64_t flow_hash) const {
     std::vector<owner_search::target> out;
+    std::vector<std::pair<std::uint64_t, machine_address>> near;
     for (const auto& [machine, it] : peers_) {
         const bool dead = it.heard && it.report.host == host_state::dead;
-        if (!dead && std::ranges::find(services, it.service) != services.end())
-            out.push_back({machine, it.service});
+        if (dead || std::ranges::find(services, it.service) == services.end())
+            continue;
+        out.push_back({machine, it.service});
+        if (it.data_centre == own)
+            near.emplace_back(placement_rank(flow_hash, machine), machine);
     }
+    const auto n = std::min(near.size(), options_.likely_owners);
+    std::ranges::partial_sort(near,
+                              near.begin() + static_cast<std::ptrdiff_t>(n));
+    near.resize(n);
+    for (owner_search::target& it : out)
+        it.likely = std::ranges::any_of(
+            near, [&](const auto& one) { return one.second == it.machine; });
     return out;
 }
 
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -195,7 +195,7 @@
 void host_relay::deny(machine_address to, const segment& it,
                       return_reason reason) {
     if (it.mark.kind == handling::search)
-        hooks_.send(to, flow_not_here{it.flow});
+        hooks_.send(to, flow_denial{.not_here = {it.flow}});
     else
         give_back(to, it, reason);
 }
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -13,9 +13,11 @@
     hello = 1,
     load_report,
     flows_here,
-    flow_not_here,
+    flow_query,
+    flow_denial,
     packet_returned,
     peer_hello,
+    directory_request,
     directory_part,
 };
 
@@ -24,7 +26,7 @@
 constexpr std::size_t min_route_bytes = endpoint_bytes + 2;
 constexpr std::size_t target_bytes = 12;
 constexpr std::size_t departed_bytes = 6;
-constexpr std::size_t host_bytes = 51;
+constexpr std::size_t host_bytes = 59;
 
 void put(byte_writer& out, const endpoint& it) {
     out.put(it.address);
@@ -90,6 +92,7 @@
     out.put(it.data_centre.value());
     out.put(static_cast<std::uint64_t>(it.idle_timeout.count()));
     out.put(static_cast<std::uint8_t>(it.registered));
+    out.put(it.host_started.value());
     put_flag(out, it.wants_flows);
 }
 
@@ -115,9 +118,28 @@
     }
 }
 
-void write(byte_writer& out, const flow_not_here& it) {
-    put_type(out, type::flow_not_here);
-    put(out, it.flow);
+void put(byte_writer& out, const std::vector<flow_key>& flows) {
+    put_count(out, flows.size());
+    for (const flow_key& it : flows)
+        put(out, it);
+}
+
+std::vector<flow_key> take_flows(byte_reader& in) {
+    std::vector<flow_key> out;
+    for (auto n = in.take_count(2 * endpoint_bytes); n > 0; --n)
+        out.push_back(take_flow(in));
+    return out;
+}
+
+void write(byte_writer& out, const flow_query& it) {
+    put_type(out, type::flow_query);
+    put(out, it.flows);
+}
+
+void write(byte_writer& out, const flow_denial& it) {
+    put_type(out, type::flow_denial);
+    put(out, it.not_here);
+    put(out, it.unsure);
 }
 
 void write(byte_writer& out, const packet_returned& it) {
@@ -132,7 +154,6 @@
     out.put(it.data_centre.value());
     out.put(it.as_of.value());
     out.put(it.digest);
-    put_flag(out, it.needs_directory);
     put_flag(out, it.is_reply);
     put(out, it.entries);
     put_count(out, it.departed.size());
@@ -142,6 +163,10 @@
     }
 }
 
+void write(byte_writer& out, const directory_request&) {
+    put_type(out, type::directory_request);
+}
+
 void write(byte_writer& out, const directory_part& it) {
     put_type(out, type::directory_part);
     out.put(it.as_of.value());
@@ -158,6 +183,7 @@
     it.idle_timeout =
         duration(static_cast<duration::rep>(in.take<std::uint64_t>()));
     it.registered = take_enum(in, registration::absent);
+    it.host_started = unix_milliseconds(in.take<std::uint64_t>());
     it.wants_flows = take_flag(in);
     return it;
 }
@@ -200,7 +226,6 @@
     it.data_centre = data_centre_id(in.take<std::uint64_t>());
     it.as_of = revision(in.take<std::uint64_t>());
     it.digest = in.take<std::uint64_t>();
-    it.needs_directory = take_flag(in);
     it.is_reply = take_flag(in);
     it.entries = take_machines(in);
     for (auto n = in.take_count(departed_bytes); n > 0; --n) {
@@ -228,12 +253,18 @@
         return read_load_report(in);
     case type::flows_here:
         return read_flows_here(in);
-    case type::flow_not_here:
-        return flow_not_here{take_flow(in)};
+    case type::flow_query:
+        return flow_query{take_flows(in)};
+    case type::flow_denial: {
+        auto not_here = take_flows(in);
+        return flow_denial{std::move(not_here), take_flows(in)};
+    }
     case type::packet_returned:
         return read_packet_returned(in);
     case type::peer_hello:
         return read_peer_hello(in);
+    case type::directory_request:
+        return directory_request{};
     case type::directory_part:
         break;
     }
@@ -283,6 +314,7 @@
     put_flag(out, it.record.draining);
     out.put(it.record.slots);
     out.put(static_cast<std::uint64_t>(it.record.warmup_left.count()));
+    out.put(it.record.started.value());
 }
 
 directory_view::host read_host(byte_reader& in) {
@@ -296,6 +328,7 @@
     it.record.slots = in.take<std::uint32_t>();
     it.record.warmup_left =
         duration(static_cast<duration::rep>(in.take<std::uint64_t>()));
+    it.record.started = unix_milliseconds(in.take<std::uint64_t>());
     return it;
 }
 
--- a/packages/core/src/relay/owner_search.cpp
+++ b/packages/core/src/relay/owner_search.cpp
@@ -1,80 +1,137 @@
-// Rounds of questions for the owner of a flow.
+// Stages and rounds of the search for a flow's owner.
 
 #include <arbutusport/relay/owner_search.hpp>
 
+#include <algorithm>
+
 namespace arbutusport::relay {
 
+namespace {
+
+// IPv4 and UDP headers around each datagram.
+constexpr std::size_t datagram_overhead = 28;
+// A flow in a query.
+constexpr std::size_t query_bytes = 12;
+
+} // namespace
+
 bool owner_search::add(const segment& packet,
-                       std::optional<machine_address> denied, time_point now) {
+                       std::optional<machine_address> denied, time_point now,
+                       time_point not_before) {
     const auto known = searches_.find(packet.flow);
-    if (known != searches_.end()) {
-        search& it = known->second;
-        it.acknowledged = packet.acknowledged;
+    const bool fresh = known == searches_.end();
+    if (fresh && searches_.size() >= options_.max_searches)
+        return false;
+    search& it = fresh ? searches_[packet.flow] : known->second;
+    it.used_at = now;
+    it.not_before = not_before;
+    it.acknowledged = packet.acknowledged;
+    if (denied)
+        it.denied.insert(*denied);
+    const bool asks = fresh || it.rounds >= options_.max_rounds;
+    if (!asks) {
         if (it.held.size() >= options_.max_held)
             return false;
         it.held.emplace_back(packet.datagram.begin(), packet.datagram.end());
         return true;
     }
-    if (searches_.size() >= options_.max_searches)
-        return false;
-    search& it = searches_[packet.flow];
-    it.acknowledged = packet.acknowledged;
     it.probe.assign(packet.datagram.begin(), packet.datagram.end());
-    if (!ask_all(packet.flow, it, denied, now))
-        searches_.erase(packet.flow);
+    it.probed.clear();
+    it.held.clear();
+    it.rounds = 0;
+    ask(packet.flow, it, now);
     return true;
 }
 
-bool owner_search::ask_all(const flow_key& flow, search& it,
-                           std::optional<machine_address> denied,
-                           time_point now) {
-    it.waiting.clear();
-    for (const target& one : hooks_.targets(flow))
-        if (one.machine != denied)
-            it.waiting.push_back(one);
-    if (it.waiting.empty())
-        return on_all_denied(flow, it, now);
-    ask_waiting(it, now);
-    return true;
+void owner_search::ask(const flow_key& flow, search& it, time_point now) {
+    const auto targets = undecided(flow, it);
+    if (targets.empty()) {
+        wait_for_conclusion(it, now);
+        return;
+    }
+    const bool any_likely =
+        std::ranges::any_of(targets, [&](const target& one) {
+            return one.likely && !it.probed.contains(one.machine);
+        });
+    if (it.rounds == 0 && any_likely && !it.asked_all)
+        ask_likely(it, targets, now);
+    else
+        ask_all(flow, it, targets, now);
+    ++it.rounds;
 }
 
-void owner_search::ask_waiting(search& it, time_point now) {
-    ++it.rounds;
+void owner_search::ask_likely(search& it, const std::vector<target>& targets,
+                              time_point now) {
+    it.due = now + options_.near_wait;
+    for (const target& one : targets)
+        if (one.likely)
+            probe(it, one, now);
+}
+
+void owner_search::ask_all(const flow_key& flow, search& it,
+                           const std::vector<target>& targets, time_point now) {
+    it.asked_all = true;
     it.due = now + options_.retry_interval;
-    for (const target& one : it.waiting)
-        hooks_.send(one, it.probe);
+    for (const target& one : targets)
+        queries_[one.machine].push_back(flow);
+}
+
+void owner_search::probe(search& it, const target& one, time_point now) {
+    if (!budget_.take(it.probe.size() + datagram_overhead, now))
+        return;
+    it.probed.insert(one.machine);
+    hooks_.send(one, it.probe);
+}
+
+std::vector<owner_search::target>
+owner_search::undecided(const flow_key& flow, const search& it) const {
+    auto targets = hooks_.targets(flow);
+    std::erase_if(targets, [&](const target& one) {
+        return it.denied.contains(one.machine);
+    });
+    return targets;
+}
+
+void owner_search::wait_for_conclusion(search& it, time_point now) const {
+    it.due = std::max(now + options_.conclusion_delay, it.not_before);
 }
 
 void owner_search::on_not_here(machine_address from, const flow_key& flow,
                                time_point now) {
-    const auto it = searches_.find(flow);
-    if (it == searches_.end() ||
-        std::erase_if(it->second.waiting, [&](const target& one) {
-            return one.machine == from;
-        }) == 0)
+    const auto known = searches_.find(flow);
+    if (known == searches_.end() || !known->second.denied.insert(from).second)
         return;
-    if (it->second.waiting.empty() && !on_all_denied(flow, it->second, now))
-        searches_.erase(flow);
+    search& it = known->second;
+    const auto left = undecided(flow, it);
+    const auto likely = [](const target& one) { return one.likely; };
+    if (left.empty())
+        wait_for_conclusion(it, now);
+    else if (!it.asked_all && std::ranges::none_of(left, likely))
+        ask_all(flow, it, left, now);
 }
 
-bool owner_search::on_all_denied(const flow_key& flow, search& it,
-                                 time_point now) {
-    if (!it.denied_once) {
-        it.denied_once = true;
-        it.due = now + options_.confirm_delay;
-        return true;
-    }
-    hooks_.nowhere(flow, it.acknowledged);
-    return false;
+void owner_search::on_unsure(machine_address from, const flow_key& flow,
+                             time_point now) {
+    const auto known = searches_.find(flow);
+    if (known == searches_.end())
+        return;
+    for (const target& one : undecided(flow, known->second))
+        if (one.machine == from)
+            probe(known->second, one, now);
 }
 
-std::vector<bytes> owner_search::on_found(const flow_key& flow) {
+std::vector<bytes> owner_search::on_found(const flow_key& flow,
+                                          machine_address owner) {
     const auto it = searches_.find(flow);
     if (it == searches_.end())
         return {};
-    auto held = std::move(it->second.held);
+    std::vector<bytes> waiting;
+    if (!it->second.probed.contains(owner))
+        waiting.push_back(std::move(it->second.probe));
+    for (bytes& held : it->second.held)
+        waiting.push_back(std::move(held));
     searches_.erase(it);
-    return held;
+    return waiting;
 }
 
 void owner_search::on_tick(time_point now) {
@@ -84,16 +141,35 @@
             due.push_back(flow);
     for (const flow_key& flow : due) {
         search& it = searches_.at(flow);
-        if (!it.held.empty())
-            it.probe = it.held.back();
-        bool goes_on = it.rounds < options_.max_rounds;
-        if (goes_on && it.waiting.empty())
-            goes_on = ask_all(flow, it, std::nullopt, now);
-        else if (goes_on)
-            ask_waiting(it, now);
-        if (!goes_on)
+        if (undecided(flow, it).empty()) {
+            const auto acknowledged = it.acknowledged;
+            searches_.erase(flow);
+            hooks_.nowhere(flow, acknowledged);
+        } else if (now - it.used_at > options_.memory) {
             searches_.erase(flow);
+        } else if (it.rounds < options_.max_rounds) {
+            ask(flow, it, now);
+        } else {
+            // Silent processes are asked again when the client sends again.
+            it.due = it.used_at + options_.memory;
+        }
+    }
+    send_queries(now);
+}
+
+void owner_search::send_queries(time_point now) {
+    for (auto& [machine, flows] : queries_) {
+        for (std::size_t i = 0; i < flows.size(); i += max_flows_per_message) {
+            const auto n = std::min(max_flows_per_message, flows.size() - i);
+            // What does not fit in is asked again with the next round.
+            if (!budget_.take(n * query_bytes + datagram_overhead, now))
+                continue;
+            const auto first = flows.begin() + static_cast<std::ptrdiff_t>(i);
+            hooks_.query(machine,
+                         {first, first + static_cast<std::ptrdiff_t>(n)});
+        }
     }
+    queries_.clear();
 }
 
 } // namespace arbutusport::relay
--- a/packages/core/src/relay/peer_entries.cpp
+++ b/packages/core/src/relay/peer_entries.cpp
@@ -12,10 +12,8 @@
 constexpr std::size_t max_named = 16;
 // A larger directory than this would not fit any process of the target.
 constexpr std::uint16_t max_parts = 4096;
-// A peer gets at most one view in this time; parts may be on their way.
-constexpr duration view_interval = std::chrono::milliseconds(800);
-// A peer without a directory serves nobody, so it gets ours at once.
-constexpr duration urgent_view_interval = std::chrono::milliseconds(100);
+// A peer that was heard of before this is not asked for its directory.
+constexpr duration source_silence = std::chrono::seconds(2);
 
 } // namespace
 
@@ -23,9 +21,18 @@
     : options_(std::move(options)), send_(std::move(send_message)) {}
 
 void peer_entries::on_tick(const standing& own, time_point now) {
+    if (own.known.as_of() != own_as_of_) {
+        own_as_of_ = own.known.as_of();
+        moved_at_ = now;
+    }
+    request_directory(own, now);
     if (now - round_at_ < options_.hello_interval)
         return;
     round_at_ = now;
+    send_hellos(own, now);
+}
+
+void peer_entries::send_hellos(const standing& own, time_point now) {
     for (const machine_address seed : options_.seeds)
         if (seed != options_.self)
             peers_.try_emplace(seed);
@@ -40,7 +47,6 @@
          --n) {
         if (it == peers_.end())
             it = peers_.begin();
-        it->second.hello_at = now;
         send_(it->first, hello);
         ++it;
     }
@@ -49,27 +55,76 @@
 
 void peer_entries::on_hello(machine_address from, const peer_hello& hello,
                             const standing& own, time_point now) {
-    const directory& known = own.known;
     for (const machine_address it : hello.entries)
         learn(it, now);
     peer& it = peers_[from];
     it.heard_at = now;
+    it.data_centre = hello.data_centre;
     it.as_of = hello.as_of;
     it.digest = hello.digest;
-    compare(it, known, now);
     if (!hello.is_reply)
         send_(from, make_hello(own, true, now));
-    const bool has_newer = known.ready() && known.as_of() > hello.as_of &&
-                           known.digest() != hello.digest;
-    if (!has_newer)
+    request_directory(own, now);
+}
+
+// Asks one peer at a time: views from all of them at once would fill a small
+// link.
+void peer_entries::request_directory(const standing& own, time_point now) {
+    const auto source = newer_peer(own.known, now);
+    if (!source) {
+        behind_since_.reset();
+        request_pause_ = options_.request_interval;
         return;
-    const bool urgent = hello.needs_directory;
-    const bool behind =
-        it.behind_since && now - *it.behind_since >= options_.behind_limit;
-    if ((urgent && now - it.sent_view_at >= urgent_view_interval) ||
-        (behind && now - it.sent_view_at >= view_interval)) {
-        it.sent_view_at = now;
-        send_view(from, known);
+    }
+    if (!behind_since_)
+        behind_since_ = now;
+    const bool needs = !own.known.ready() || own.store_lost;
+    if ((!needs && now - *behind_since_ < options_.behind_limit) ||
+        now < request_due_)
+        return;
+    request_due_ = now + request_pause_;
+    request_pause_ =
+        std::min(2 * request_pause_, options_.max_request_interval);
+    send_(*source, directory_request{});
+}
+
+// The peer with the newest directory; one in the own data centre if several
+// have it.
+std::optional<machine_address> peer_entries::newer_peer(const directory& known,
+                                                        time_point now) const {
+    std::optional<machine_address> best;
+    const peer* found = nullptr;
+    for (const auto& [machine, it] : peers_) {
+        if (it.as_of <= known.as_of() || it.digest == known.digest() ||
+            now - it.heard_at > source_silence)
+            continue;
+        const bool nearer = it.data_centre == options_.data_centre;
+        if (found == nullptr ||
+            (nearer && found->data_centre != options_.data_centre) ||
+            (it.as_of > found->as_of &&
+             (nearer || found->data_centre != options_.data_centre))) {
+            best = machine;
+            found = &it;
+        }
+    }
+    return best;
+}
+
+void peer_entries::on_request(machine_address from, const directory& known) {
+    if (!known.ready())
+        return;
+    const bytes whole = encode_view(known.view());
+    const byte_view all(whole);
+    const auto count = (whole.size() + max_part_bytes - 1) / max_part_bytes;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto part = all.subspan(
+            i * max_part_bytes,
+            std::min(max_part_bytes, whole.size() - i * max_part_bytes));
+        send_(from, directory_part{.as_of = known.as_of(),
+                                   .digest = known.digest(),
+                                   .index = static_cast<std::uint16_t>(i),
+                                   .count = static_cast<std::uint16_t>(count),
+                                   .content = bytes(part.begin(), part.end())});
     }
 }
 
@@ -106,13 +161,10 @@
     peers_.try_emplace(machine, peer{.heard_at = now});
 }
 
-bool peer_entries::is_behind(const directory& known, duration limit,
-                             time_point now) const {
-    return std::ranges::any_of(peers_, [&](const auto& it) {
-        const peer& one = it.second;
-        return one.ahead_since && one.as_of > known.as_of() &&
-               one.digest != known.digest() && now - *one.ahead_since > limit;
-    });
+bool peer_entries::is_stuck(const directory& known, duration limit,
+                            time_point now) const {
+    return behind_since_ && now - *behind_since_ > limit &&
+           now - moved_at_ > limit && known.as_of() == own_as_of_;
 }
 
 std::vector<machine_address> peer_entries::live(time_point now) const {
@@ -125,46 +177,13 @@
 
 peer_hello peer_entries::make_hello(const standing& own, bool is_reply,
                                     time_point now) const {
-    const directory& known = own.known;
     return {.run = options_.run,
             .data_centre = options_.data_centre,
-            .as_of = known.as_of(),
-            .digest = known.digest(),
-            .needs_directory = !known.ready() || own.store_lost,
+            .as_of = own.known.as_of(),
+            .digest = own.known.digest(),
             .is_reply = is_reply,
             .entries = live(now),
             .departed = own.departed};
 }
 
-void peer_entries::compare(peer& it, const directory& known,
-                           time_point now) const {
-    const bool differs = it.digest != known.digest();
-    if (!differs || it.as_of >= known.as_of())
-        it.behind_since.reset();
-    else if (!it.behind_since)
-        it.behind_since = now;
-    if (!differs || it.as_of <= known.as_of())
-        it.ahead_since.reset();
-    else if (!it.ahead_since)
-        it.ahead_since = now;
-}
-
-void peer_entries::send_view(machine_address to, const directory& known) const {
-    const bytes whole = encode_view(known.view());
-    const auto count = (whole.size() + max_part_bytes - 1) / max_part_bytes;
-    for (std::size_t i = 0; i < count; ++i) {
-        const auto start =
-            whole.begin() + static_cast<std::ptrdiff_t>(i * max_part_bytes);
-        const auto length =
-            std::min(max_part_bytes, whole.size() - i * max_part_bytes);
-        send_(to, directory_part{
-                      .as_of = known.as_of(),
-                      .digest = known.digest(),
-                      .index = static_cast<std::uint16_t>(i),
-                      .count = static_cast<std::uint16_t>(count),
-                      .content = bytes(
-                          start, start + static_cast<std::ptrdiff_t>(length))});
-    }
-}
-
 } // namespace arbutusport::relay
--- a/packages/core/src/relay/placement.cpp
+++ b/packages/core/src/relay/placement.cpp
@@ -39,6 +39,27 @@
 
 } // namespace
 
+std::uint64_t placement_rank(std::uint64_t flow_hash, machine_address machine) {
+    return hash_combine(machine.value(), flow_hash);
+}
+
+std::vector<candidate> ranked_hosts(std::vector<candidate> hosts,
+                                    std::uint64_t flow_hash,
+                                    const placement_options& options) {
+    if (std::ranges::any_of(hosts, &candidate::reachable))
+        std::erase_if(hosts, [](const auto& it) { return !it.reachable; });
+    const auto key = [&](const candidate& it) {
+        return std::pair(!it.local, placement_rank(flow_hash, it.machine));
+    };
+    std::ranges::sort(hosts, {}, key);
+    std::vector<candidate> out;
+    std::size_t taken[2] = {0, 0};
+    for (candidate& it : hosts)
+        if (taken[it.local ? 1 : 0]++ < options.ranked_hosts)
+            out.push_back(it);
+    return out;
+}
+
 std::optional<std::size_t> choose_host(std::span<const candidate> hosts,
                                        std::span<const machine_address> tried,
                                        std::uint64_t tie_breaker,
--- a/packages/runtime/include/arbutusport/adapters/clock.hpp
+++ b/packages/runtime/include/arbutusport/adapters/clock.hpp
@@ -9,6 +9,9 @@
 /// @brief The monotonic clock.
 time_point now();
 
+/// @brief The wall clock.
+unix_milliseconds wall_clock();
+
 /// @brief A fresh incarnation from the wall clock and 16 random bits.
 incarnation new_incarnation();
 
--- a/packages/runtime/src/adapters/clock.cpp
+++ b/packages/runtime/src/adapters/clock.cpp
@@ -11,13 +11,15 @@
         std::chrono::steady_clock::now().time_since_epoch()));
 }
 
-incarnation new_incarnation() {
+unix_milliseconds wall_clock() {
     const auto wall = std::chrono::system_clock::now().time_since_epoch();
-    const auto ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(wall).count();
+    return unix_milliseconds(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(wall).count()));
+}
+
+incarnation new_incarnation() {
     std::random_device random;
-    return incarnation(static_cast<std::uint64_t>(ms) << 16 |
-                       (random() & 0xffffU));
+    return incarnation(wall_clock().value() << 16 | (random() & 0xffffU));
 }
 
 } // namespace arbutusport::adapters
