--- /dev/null
+++ b/packages/core/src/relay/owner_search_test.cpp
@@ -0,0 +1,194 @@
+// Guards the search for a flow's owner: no conclusion before every process
+// has denied the flow, nobody asked twice who denied, and no more traffic
+// than the budget allows.
+
+#include <arbutusport/relay/owner_search.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace arbutusport::relay {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const time_point start{seconds(100)};
+
+flow_key flow_number(std::uint16_t n) {
+    return {{0x64400007, n}, {0xc6120001, 443}};
+}
+
+// Records what a search asks for.
+struct fixture {
+    std::vector<owner_search::target> targets;
+    std::vector<machine_address> probed;
+    std::vector<std::pair<machine_address, std::size_t>> queried;
+    std::vector<flow_key> nowhere;
+    bytes packet = bytes(234);
+    owner_search search;
+
+    explicit fixture(std::size_t processes, std::size_t likely,
+                     owner_search_options options = {})
+        : search(
+              options,
+              {.targets = [this](const flow_key&) { return targets; },
+               .send = [this](const owner_search::target& to,
+                              byte_view) { probed.push_back(to.machine); },
+               .query =
+                   [this](machine_address to, std::vector<flow_key> flows) {
+                       queried.emplace_back(to, flows.size());
+                   },
+               .nowhere = [this](const flow_key& it,
+                                 std::uint32_t) { nowhere.push_back(it); }}) {
+        for (std::uint32_t i = 0; i < processes; ++i)
+            targets.push_back({machine_address(i + 1), {}, i < likely});
+    }
+
+    bool add(std::uint16_t n, time_point now) {
+        segment it;
+        it.flow = flow_number(n);
+        it.ack = true;
+        it.datagram = packet;
+        return search.add(it, std::nullopt, now);
+    }
+
+    void deny(std::uint32_t machine, std::uint16_t n, time_point now) {
+        search.on_not_here(machine_address(machine), flow_number(n), now);
+    }
+};
+
+} // namespace
+
+class owner_search_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(owner_search_test);
+    CPPUNIT_TEST(likely_owners_get_the_packet_first);
+    CPPUNIT_TEST(others_are_asked_when_likely_ones_deny);
+    CPPUNIT_TEST(others_are_asked_when_likely_ones_are_silent);
+    CPPUNIT_TEST(no_conclusion_while_one_is_silent);
+    CPPUNIT_TEST(silent_ones_alone_are_asked_again);
+    CPPUNIT_TEST(a_host_learned_late_is_asked_before_the_conclusion);
+    CPPUNIT_TEST(many_flows_share_a_query);
+    CPPUNIT_TEST(an_unsure_process_gets_the_packet);
+    CPPUNIT_TEST(found_owner_gets_what_it_has_not_got);
+    CPPUNIT_TEST(a_thousand_unknown_flows_stay_within_the_budget);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void likely_owners_get_the_packet_first() {
+        fixture it(20, 4);
+        it.add(1, start);
+        it.search.on_tick(start + milliseconds(25));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, it.probed.size());
+        CPPUNIT_ASSERT(it.queried.empty());
+    }
+
+    void others_are_asked_when_likely_ones_deny() {
+        fixture it(20, 2);
+        it.add(1, start);
+        it.deny(1, 1, start + milliseconds(2));
+        it.deny(2, 1, start + milliseconds(2));
+        it.search.on_tick(start + milliseconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{18}, it.queried.size());
+    }
+
+    void others_are_asked_when_likely_ones_are_silent() {
+        fixture it(20, 2);
+        it.add(1, start);
+        it.search.on_tick(start + milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, it.queried.size());
+    }
+
+    void no_conclusion_while_one_is_silent() {
+        fixture it(3, 3);
+        it.add(1, start);
+        it.deny(1, 1, start);
+        it.deny(2, 1, start);
+        for (int ms = 0; ms < 3000; ms += 25)
+            it.search.on_tick(start + milliseconds(ms));
+        CPPUNIT_ASSERT(it.nowhere.empty());
+        it.deny(3, 1, start + seconds(3));
+        it.search.on_tick(start + milliseconds(3100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.nowhere.size());
+    }
+
+    // Each retransmission of the client used to ask everybody again.
+    void silent_ones_alone_are_asked_again() {
+        fixture it(40, 0);
+        it.add(1, start);
+        it.search.on_tick(start);
+        for (std::uint32_t i = 1; i < 40; ++i)
+            it.deny(i, 1, start + milliseconds(10));
+        it.queried.clear();
+        for (int ms = 200; ms < 1600; ms += 200) {
+            it.add(1, start + milliseconds(ms));
+            it.search.on_tick(start + milliseconds(ms));
+        }
+        for (const auto& [machine, n] : it.queried)
+            CPPUNIT_ASSERT(machine == machine_address(40));
+    }
+
+    void a_host_learned_late_is_asked_before_the_conclusion() {
+        fixture it(1, 1);
+        it.add(1, start);
+        it.deny(1, 1, start + milliseconds(5));
+        it.targets.push_back({machine_address(9), {}, false});
+        it.search.on_tick(start + milliseconds(200));
+        CPPUNIT_ASSERT(it.nowhere.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.queried.size());
+    }
+
+    void many_flows_share_a_query() {
+        fixture it(2, 0);
+        for (std::uint16_t n = 1; n <= 50; ++n)
+            it.add(n, start);
+        it.search.on_tick(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.queried.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{50}, it.queried[0].second);
+    }
+
+    void an_unsure_process_gets_the_packet() {
+        fixture it(2, 0);
+        it.add(1, start);
+        it.search.on_tick(start);
+        it.search.on_unsure(machine_address(2), flow_number(1), start);
+        CPPUNIT_ASSERT(it.probed ==
+                       std::vector<machine_address>{machine_address(2)});
+    }
+
+    void found_owner_gets_what_it_has_not_got() {
+        fixture it(2, 1);
+        it.add(1, start);
+        it.add(1, start);
+        // The first packet went to process 1 already.
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{1},
+            it.search.on_found(flow_number(1), machine_address(1)).size());
+        it.add(1, start);
+        it.add(1, start);
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{2},
+            it.search.on_found(flow_number(1), machine_address(2)).size());
+    }
+
+    void a_thousand_unknown_flows_stay_within_the_budget() {
+        constexpr double budget = 100e3;
+        fixture it(40, 8, {.budget = {.bytes_per_second = budget}});
+        std::size_t flow_bytes = 0;
+        for (int ms = 0; ms < 2000; ms += 25) {
+            for (std::uint16_t n = 0; n < 1000; n += 20)
+                it.add(static_cast<std::uint16_t>(n + ms % 20),
+                       start + milliseconds(ms));
+            it.search.on_tick(start + milliseconds(ms));
+        }
+        flow_bytes = it.probed.size() * (it.packet.size() + 28);
+        for (const auto& [machine, n] : it.queried)
+            flow_bytes += 28 + 12 * n;
+        // 2 s and the burst of 0.3 s.
+        CPPUNIT_ASSERT(flow_bytes <= static_cast<std::size_t>(2.3 * budget));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(owner_search_test);
+
+} // namespace arbutusport::relay
--- /dev/null
+++ b/packages/core/src/relay/placement_test.cpp
@@ -0,0 +1,180 @@
+// Guards the choice of a host for a new flow, load by load: a busy host, a
+// shifted data centre, a host that has just started, a silent host.
+
+#include <arbutusport/relay/load_meter.hpp>
+#include <arbutusport/relay/placement.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+
+namespace arbutusport::relay {
+
+namespace {
+
+candidate local(std::uint32_t machine) {
+    return {.machine = machine_address(machine), .local = true, .slots = 2};
+}
+
+candidate remote(std::uint32_t machine) {
+    return {.machine = machine_address(machine), .local = false, .slots = 2};
+}
+
+std::uint32_t chosen(const std::vector<candidate>& hosts,
+                     std::uint64_t tie_breaker = 0) {
+    return hosts[*choose_host(hosts, {}, tie_breaker)].machine.value();
+}
+
+} // namespace
+
+class placement_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(placement_test);
+    CPPUNIT_TEST(equal_hosts_share_evenly);
+    CPPUNIT_TEST(a_busy_host_gets_no_flow);
+    CPPUNIT_TEST(idle_flows_count_as_well);
+    CPPUNIT_TEST(flows_placed_since_the_report_count);
+    CPPUNIT_TEST(local_hosts_come_first_until_they_are_busy);
+    CPPUNIT_TEST(a_host_that_warms_up_gets_less);
+    CPPUNIT_TEST(a_silent_host_is_avoided);
+    CPPUNIT_TEST(unreachable_hosts_are_the_last_resort);
+    CPPUNIT_TEST(tried_hosts_are_left_out);
+    CPPUNIT_TEST(ranks_limit_where_a_flow_may_be);
+    CPPUNIT_TEST(ranks_move_little_when_a_host_joins);
+    CPPUNIT_TEST(weights_divide_flows);
+    CPPUNIT_TEST(load_meter_follows_requests);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void equal_hosts_share_evenly() {
+        const std::vector<candidate> hosts{local(1), local(2), local(3)};
+        std::map<std::uint32_t, int> counts;
+        constexpr int flows = 3000;
+        for (int i = 0; i < flows; ++i)
+            ++counts[chosen(hosts, static_cast<std::uint64_t>(i) * 7919)];
+        for (const auto& [machine, n] : counts)
+            CPPUNIT_ASSERT(n > 800 && n < 1200);
+    }
+
+    void a_busy_host_gets_no_flow() {
+        std::vector<candidate> hosts{local(1), local(2)};
+        hosts[0].busy = 1.5;
+        hosts[0].flows = hosts[1].flows = 10;
+        CPPUNIT_ASSERT_EQUAL(2U, chosen(hosts));
+    }
+
+    // All flows pause now, but their next requests come to their hosts.
+    void idle_flows_count_as_well() {
+        std::vector<candidate> hosts{local(1), local(2)};
+        hosts[0].flows = 40;
+        hosts[1].flows = 10;
+        CPPUNIT_ASSERT_EQUAL(2U, chosen(hosts));
+    }
+
+    // Guards against all flows of one report interval at one host.
+    void flows_placed_since_the_report_count() {
+        std::vector<candidate> hosts{local(1), local(2)};
+        for (std::uint64_t i = 0; i < 100; ++i)
+            ++hosts[chosen(hosts, i) - 1].placed_since;
+        CPPUNIT_ASSERT_EQUAL(50U, hosts[0].placed_since);
+    }
+
+    void local_hosts_come_first_until_they_are_busy() {
+        std::vector<candidate> hosts{local(1), remote(2)};
+        hosts[0].flows = hosts[1].flows = 20;
+        hosts[0].busy = 0.4;
+        CPPUNIT_ASSERT_EQUAL(1U, chosen(hosts));
+        // Clients of another data centre came over.
+        hosts[0].busy = 2;
+        hosts[0].outstanding = 3;
+        CPPUNIT_ASSERT_EQUAL(2U, chosen(hosts));
+    }
+
+    void a_host_that_warms_up_gets_less() {
+        std::vector<candidate> hosts{local(1), local(2)};
+        hosts[0].busy = hosts[1].busy = 0.5;
+        hosts[0].flows = hosts[1].flows = 10;
+        hosts[0].warming_up = true;
+        CPPUNIT_ASSERT_EQUAL(2U, chosen(hosts));
+    }
+
+    void a_silent_host_is_avoided() {
+        std::vector<candidate> hosts{local(1), local(2)};
+        hosts[0].unanswered = 1;
+        hosts[1].busy = 1;
+        hosts[0].flows = hosts[1].flows = 10;
+        CPPUNIT_ASSERT_EQUAL(2U, chosen(hosts));
+    }
+
+    void unreachable_hosts_are_the_last_resort() {
+        std::vector<candidate> hosts{local(1), remote(2)};
+        hosts[0].reachable = false;
+        CPPUNIT_ASSERT_EQUAL(2U, chosen(hosts));
+        hosts[1].reachable = false;
+        CPPUNIT_ASSERT_EQUAL(1U, chosen(hosts));
+    }
+
+    void tried_hosts_are_left_out() {
+        const std::vector<candidate> hosts{local(1), local(2)};
+        const std::vector<machine_address> both{machine_address(1),
+                                                machine_address(2)};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             *choose_host(hosts, std::span(both).first(1), 0));
+        CPPUNIT_ASSERT(!choose_host(hosts, both, 0));
+    }
+
+    void ranks_limit_where_a_flow_may_be() {
+        std::vector<candidate> hosts;
+        for (std::uint32_t i = 1; i <= 20; ++i)
+            hosts.push_back(i % 2 == 0 ? local(i) : remote(i));
+        const auto kept = ranked_hosts(hosts, 99);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{12}, kept.size());
+        // Alike in every process, whatever the order.
+        std::ranges::reverse(hosts);
+        const auto again = ranked_hosts(hosts, 99);
+        for (std::size_t i = 0; i < kept.size(); ++i)
+            CPPUNIT_ASSERT(kept[i].machine == again[i].machine);
+    }
+
+    void ranks_move_little_when_a_host_joins() {
+        std::vector<candidate> hosts;
+        for (std::uint32_t i = 1; i <= 20; ++i)
+            hosts.push_back(local(i));
+        const auto before = ranked_hosts(hosts, 5);
+        hosts.push_back(local(21));
+        const auto after = ranked_hosts(hosts, 5);
+        std::size_t moved = 0;
+        for (const auto& it : before)
+            moved += std::ranges::none_of(after, [&](const auto& one) {
+                return one.machine == it.machine;
+            });
+        CPPUNIT_ASSERT(moved <= 1);
+    }
+
+    void weights_divide_flows() {
+        const route way{.targets = {{service_id(1), 90}, {service_id(2), 10}}};
+        int second = 0;
+        for (std::uint64_t i = 0; i < 1000; ++i)
+            second += *choose_service(way, i) == service_id(2) ? 1 : 0;
+        CPPUNIT_ASSERT_EQUAL(100, second);
+        CPPUNIT_ASSERT(!choose_service(route{}, 1));
+        const route off{.targets = {{service_id(1), 0}}};
+        CPPUNIT_ASSERT(!choose_service(off, 1));
+    }
+
+    void load_meter_follows_requests() {
+        using std::chrono::seconds;
+        load_meter it;
+        const time_point start{seconds(10)};
+        it.add(2, start);
+        CPPUNIT_ASSERT(it.mean(start + seconds(5)) > 1.9);
+        it.add(-1, start + seconds(5));
+        it.add(-5, start + seconds(5));
+        CPPUNIT_ASSERT_EQUAL(0U, it.outstanding());
+        CPPUNIT_ASSERT(it.mean(start + seconds(10)) < 0.1);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(placement_test);
+
+} // namespace arbutusport::relay
--- /dev/null
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -0,0 +1,579 @@
+// Packets carry their fields as they lie in memory; nothing leaves the process.
+
+#include <arbutusport/emulator/relay_world.hpp>
+
+#include <arbutusport/base/hash.hpp>
+
+#include <algorithm>
+#include <cstring>
+
+namespace arbutusport::emulator {
+
+namespace {
+
+using relay::machine_address;
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t first_entry = 0x0a000001;
+constexpr std::uint32_t first_host = 0x0b000001;
+constexpr std::uint32_t first_client = 0x64400001;
+const endpoint service_address{0xc6120001, 443};
+const service_id main_service = service_id_of("participa");
+const service_id other_service = service_id_of("acervo");
+const relay::data_centre_id data_centre(7);
+constexpr duration tick_interval = milliseconds(25);
+// As clients send again: first after 200 ms, then twice as late.
+constexpr duration first_retransmission = milliseconds(200);
+constexpr duration last_retransmission = milliseconds(1600);
+constexpr std::uint16_t request_bytes = 200;
+constexpr std::size_t head_bytes = 34;
+
+using packet_fields = relay_world::packet_fields;
+
+bytes pack(const packet_fields& it) {
+    bytes out(std::max(sizeof it, head_bytes) + it.payload);
+    std::memcpy(out.data(), &it, sizeof it);
+    return out;
+}
+
+packet_fields unpack(byte_view data) {
+    packet_fields it;
+    std::memcpy(&it, data.data(), sizeof it);
+    return it;
+}
+
+// All machines have the same clock; its zero is far from 0, which means
+// unknown.
+unix_milliseconds wall_clock(duration now) {
+    constexpr std::uint64_t epoch = 1'700'000'000'000;
+    return unix_milliseconds(epoch +
+                             static_cast<std::uint64_t>(now.count() / 1000));
+}
+
+relay::segment decode(byte_view data) {
+    const auto it = unpack(data);
+    relay::segment out;
+    out.flow = it.flow;
+    out.syn = it.syn;
+    out.ack = it.ack;
+    out.returned = it.returned;
+    out.sequence = it.sequence;
+    out.acknowledged = it.acknowledged;
+    out.payload_bytes = it.payload;
+    out.datagram = data;
+    return out;
+}
+
+} // namespace
+
+struct relay_world::flow_state {
+    flow_key key;
+    std::uint32_t client_start = 0;
+    std::uint32_t host_start = 0;
+    bool open = false;
+    bool reset = false;
+    std::uint64_t requests = 0;
+    std::uint64_t answers = 0;
+    // Through which the flow was opened.
+    std::size_t entry = 0;
+};
+
+struct relay_world::host_state {
+    std::unique_ptr<relay::host_relay> process;
+    std::uint64_t process_run = 0;
+    service_id service = main_service;
+    std::uint64_t boot = 1;
+    bool running = true;
+    bool listening = true;
+    bool registered = true;
+    bool draining = false;
+    bool silent = false;
+    duration booted_at{};
+    std::uint64_t revision = 1;
+    std::uint64_t placed = 0;
+    // First sequence number by flow.
+    std::map<flow_key, std::uint32_t> flows;
+    endpoint address;
+};
+
+struct relay_world::entry_state {
+    std::unique_ptr<relay::entry_relay> process;
+    std::uint64_t run = 0;
+    bool store = true;
+    machine_address machine;
+};
+
+relay_world::relay_world(relay_world_options options)
+    : options_(options), random_(options.seed * 2 + 1) {
+    for (std::size_t i = 0; i < options.hosts; ++i) {
+        hosts_.push_back(std::make_unique<host_state>());
+        hosts_[i]->address = {first_host + static_cast<std::uint32_t>(i), 8080};
+        start_host_process(i);
+    }
+    for (std::size_t i = 0; i < options.entries; ++i) {
+        entries_.push_back(std::make_unique<entry_state>());
+        entries_[i]->machine =
+            machine_address(first_entry + static_cast<std::uint32_t>(i));
+    }
+    for (std::size_t i = 0; i < options.entries; ++i)
+        start_entry(i);
+    at(tick_interval, [this] { tick(); });
+}
+
+relay_world::~relay_world() = default;
+
+void relay_world::at(duration delay, std::function<void()> action) {
+    events_.emplace(std::pair(now_ + delay, next_event_++), std::move(action));
+}
+
+bool relay_world::lost() {
+    random_ = hash_combine(random_, 0x9e37);
+    return static_cast<double>(random_ >> 11U) / 9007199254740992.0 <
+           options_.loss;
+}
+
+void relay_world::run_until(duration until) {
+    while (!events_.empty() && events_.begin()->first.first <= until) {
+        auto node = events_.extract(events_.begin());
+        now_ = node.key().first;
+        node.mapped()();
+    }
+    now_ = until;
+}
+
+void relay_world::tick() {
+    for (auto& it : entries_)
+        if (it->process)
+            it->process->on_tick(time());
+    for (auto& it : hosts_) {
+        if (!it->process)
+            continue;
+        it->process->on_tick(time());
+        if (it->listening)
+            it->process->on_host_alive(time());
+        else
+            it->process->on_host_refuses(time());
+    }
+    at(tick_interval, [this] { tick(); });
+}
+
+void relay_world::start_entry(std::size_t entry) {
+    entry_state& it = *entries_[entry];
+    const auto run = ++it.run;
+    const auto self = it.machine;
+    const auto alive = [this, entry, run] {
+        return entries_[entry]->process && entries_[entry]->run == run;
+    };
+    relay::entry_relay_hooks hooks{
+        .forward =
+            [this, self](machine_address to, relay::relay_mark mark,
+                         byte_view data) {
+                entry_bytes_ += data.size();
+                send_to_host(self, to, mark, data);
+            },
+        .reset = [this](const flow_key& flow,
+                        std::uint32_t) { on_reset(flow, "entry"); },
+        .send =
+            [this, self](machine_address to, const relay::message& it) {
+                entry_bytes_ += relay::encode(it).size();
+                send_message(self, to, it);
+            },
+        .decode = [](byte_view data) { return std::optional(decode(data)); },
+        .read_again =
+            [this, entry, alive](const char*) {
+                at(options_.delay, [this, entry, alive] {
+                    if (alive())
+                        list(entry);
+                });
+            },
+        .report = [](const relay::event&) {}};
+    it.process = std::make_unique<relay::entry_relay>(
+        relay::entry_relay_options{
+            .run = incarnation(run),
+            .self = self,
+            .data_centre = data_centre,
+            .seeds = {machine_address(first_entry)},
+            .search = {.budget = {.bytes_per_second =
+                                      options_.search_bytes_per_second}}},
+        hooks);
+    at(4 * options_.delay, [this, entry, alive] {
+        if (alive())
+            list(entry);
+    });
+}
+
+void relay_world::kill_entry(std::size_t entry) {
+    entries_[entry]->process.reset();
+}
+
+void relay_world::start_host_process(std::size_t host) {
+    host_state& it = *hosts_[host];
+    const auto self = machine_address(it.address.address);
+    relay::host_relay_hooks hooks{
+        .deliver =
+            [this, host](machine_address via, byte_view data) {
+                const bytes packet(data.begin(), data.end());
+                at({}, [this, host, via, packet] {
+                    deliver_to_host(host, via, packet);
+                });
+            },
+        .to_client =
+            [this](const flow_key& flow, byte_view data) {
+                const bytes packet(data.begin(), data.end());
+                if (!lost())
+                    at(options_.delay,
+                       [this, flow, packet] { on_client(flow, packet); });
+            },
+        .reset = [this](const flow_key& flow,
+                        std::uint32_t) { on_reset(flow, "host process"); },
+        .send =
+            [this, self](machine_address to, const relay::message& one) {
+                send_message(self, to, one);
+            },
+        .report = [](const relay::event&) {}};
+    it.process = std::make_unique<relay::host_relay>(
+        relay::host_relay_options{.run = incarnation(++it.process_run),
+                                  .service = relay::tag_of(it.service),
+                                  .started = wall_clock(now_)},
+        hooks, time());
+}
+
+void relay_world::kill_host_process(std::size_t host) {
+    hosts_[host]->process.reset();
+}
+
+void relay_world::send_to_host(machine_address from, machine_address to,
+                               relay::relay_mark mark, byte_view data) {
+    const std::size_t host = to.value() - first_host;
+    if (lost() || host >= hosts_.size())
+        return;
+    const bytes packet(data.begin(), data.end());
+    at(options_.delay, [this, host, from, mark, packet] {
+        if (!hosts_[host]->process)
+            return;
+        relay::segment it = decode(packet);
+        it.mark = mark;
+        hosts_[host]->process->on_entry(from, it, time());
+    });
+}
+
+void relay_world::send_message(machine_address from, machine_address to,
+                               const relay::message& it) {
+    if (lost())
+        return;
+    at(options_.delay, [this, from, to, it] {
+        if (to.value() >= first_host) {
+            const std::size_t host = to.value() - first_host;
+            if (host < hosts_.size() && hosts_[host]->process)
+                hosts_[host]->process->on_message(from, it, time());
+            return;
+        }
+        const std::size_t entry = to.value() - first_entry;
+        if (entry < entries_.size() && entries_[entry]->process)
+            entries_[entry]->process->on_message(from, it, time());
+    });
+}
+
+void relay_world::deliver_to_host(std::size_t host, machine_address via,
+                                  const bytes& packet) {
+    host_state& it = *hosts_[host];
+    if (!it.running || it.silent)
+        return;
+    packet_fields fields = unpack(packet);
+    const auto known = it.flows.find(fields.flow);
+    if (fields.syn) {
+        if (it.service != main_service)
+            violations_.push_back("opened at another service: " +
+                                  to_string(fields.flow));
+        const bool fresh = known == it.flows.end();
+        if (fresh)
+            ++it.placed;
+        const auto start =
+            fresh ? static_cast<std::uint32_t>(hash_combine(
+                        hash_of(fields.flow), host * 1000 + it.boot))
+                  : known->second;
+        it.flows[fields.flow] = start;
+        answer(host, {.flow = fields.flow,
+                      .sequence = start,
+                      .acknowledged = fields.sequence + 1,
+                      .syn = true,
+                      .ack = true});
+        return;
+    }
+    if (known == it.flows.end() ||
+        fields.acknowledged - known->second > (1U << 24U)) {
+        fields.returned = true;
+        bytes back = pack(fields);
+        at({}, [this, host, via, back] {
+            if (!hosts_[host]->process)
+                return;
+            relay::segment returned = decode(back);
+            returned.via_entry = via.value();
+            hosts_[host]->process->on_host(returned, time());
+        });
+        return;
+    }
+    if (fields.payload > 0)
+        answer(host, {.flow = fields.flow,
+                      .sequence = fields.acknowledged,
+                      .acknowledged = fields.sequence + fields.payload,
+                      .payload = fields.payload,
+                      .ack = true});
+}
+
+void relay_world::answer(std::size_t host, const packet_fields& fields) {
+    // A request takes some milliseconds; the handshake none.
+    const duration work = fields.syn ? duration{} : milliseconds(5);
+    const auto boot = hosts_[host]->boot;
+    at(work, [this, host, boot, packet = pack(fields)] {
+        host_state& it = *hosts_[host];
+        if (it.process && it.boot == boot)
+            it.process->on_host(decode(packet), time());
+    });
+}
+
+void relay_world::on_client(const flow_key& flow, const bytes& packet) {
+    const auto fields = unpack(packet);
+    flow_state& it = flows_[index_of(flow)];
+    if (it.reset)
+        return;
+    if (fields.syn) {
+        if (it.open)
+            return;
+        it.open = true;
+        it.host_start = fields.sequence;
+        send_packet(it, it.entry,
+                    {.flow = flow,
+                     .sequence = it.client_start + 1,
+                     .acknowledged = it.host_start + 1,
+                     .ack = true});
+        return;
+    }
+    if (fields.sequence - it.host_start < (1U << 24U))
+        it.answers = std::max(it.answers, it.requests);
+}
+
+void relay_world::on_reset(const flow_key& flow, const std::string& sender) {
+    ++resets_;
+    flow_state& it = flows_[index_of(flow)];
+    it.reset = true;
+    const auto at_host = owner(index_of(flow));
+    if (it.open && at_host < hosts_.size())
+        violations_.push_back("flow " + to_string(flow) + " of live host " +
+                              std::to_string(at_host) + " reset by " + sender +
+                              " at " + std::to_string(now_.count() / 1000) +
+                              " ms");
+}
+
+std::size_t relay_world::open_flow(std::size_t entry,
+                                   std::uint16_t service_port) {
+    const std::size_t n = flows_.size();
+    flow_state it;
+    it.key = {{first_client + static_cast<std::uint32_t>(n / 1000),
+               static_cast<std::uint16_t>(1024 + n % 1000)},
+              {service_address.address, service_port}};
+    it.client_start = static_cast<std::uint32_t>(hash_of(it.key));
+    it.entry = entry;
+    flows_.push_back(it);
+    // Copies after 200 ms and 600 ms, as long as nobody answers.
+    std::uint32_t copy = 0;
+    for (const duration delay :
+         {duration{}, duration(milliseconds(200)), duration(milliseconds(600))})
+        at(delay, [this, n, entry, copy = copy++] {
+            const flow_state& one = flows_[n];
+            if (!one.open && !one.reset)
+                send_packet(one, entry,
+                            {.flow = one.key,
+                             .sequence = one.client_start,
+                             .acknowledged = copy,
+                             .syn = true});
+        });
+    return n;
+}
+
+void relay_world::send_request(std::size_t flow, std::size_t entry) {
+    const auto request = ++flows_[flow].requests;
+    retransmit(flow, entry, request, first_retransmission);
+}
+
+void relay_world::retransmit(std::size_t flow, std::size_t entry,
+                             std::uint64_t request, duration interval) {
+    const flow_state& it = flows_[flow];
+    if (it.reset || !it.open || it.answers >= request ||
+        it.requests != request || interval > 2 * last_retransmission)
+        return;
+    send_packet(it, entry,
+                {.flow = it.key,
+                 .sequence = it.client_start + 1,
+                 .acknowledged = it.host_start + 1,
+                 .payload = request_bytes,
+                 .ack = true});
+    at(interval, [this, flow, entry, request, interval] {
+        retransmit(flow, entry, request, 2 * interval);
+    });
+}
+
+void relay_world::send_packet(const flow_state&, std::size_t entry,
+                              const packet_fields& fields) {
+    if (lost())
+        return;
+    at(options_.delay, [this, entry, packet = pack(fields)] {
+        if (entries_[entry]->process)
+            entries_[entry]->process->on_client(decode(packet), time());
+    });
+}
+
+std::size_t relay_world::index_of(const flow_key& it) const {
+    return (it.client.address - first_client) * 1000 + (it.client.port - 1024U);
+}
+
+bool relay_world::is_open(std::size_t flow) const {
+    return flows_[flow].open && !flows_[flow].reset;
+}
+
+bool relay_world::is_reset(std::size_t flow) const {
+    return flows_[flow].reset;
+}
+
+std::uint64_t relay_world::answers(std::size_t flow) const {
+    return flows_[flow].answers;
+}
+
+std::size_t relay_world::owner(std::size_t flow) const {
+    const flow_state& it = flows_[flow];
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        const auto known = hosts_[i]->flows.find(it.key);
+        if (hosts_[i]->running && known != hosts_[i]->flows.end() &&
+            known->second == it.host_start)
+            return i;
+    }
+    return hosts_.size();
+}
+
+void relay_world::crash_host(std::size_t host) {
+    host_state& it = *hosts_[host];
+    it.running = false;
+    it.listening = false;
+    it.flows.clear();
+    ++it.boot;
+}
+
+void relay_world::boot_host(std::size_t host) {
+    host_state& it = *hosts_[host];
+    crash_host(host);
+    it.running = true;
+    it.listening = true;
+    it.registered = true;
+    it.draining = false;
+    it.booted_at = now_;
+    publish(host);
+}
+
+void relay_world::drain_host(std::size_t host) {
+    hosts_[host]->draining = true;
+    publish(host);
+}
+
+void relay_world::close_listener(std::size_t host) {
+    hosts_[host]->listening = false;
+}
+
+void relay_world::unregister_host(std::size_t host) {
+    hosts_[host]->registered = false;
+    publish(host);
+}
+
+void relay_world::silence_host(std::size_t host, bool silent) {
+    hosts_[host]->silent = silent;
+}
+
+void relay_world::reuse_address(std::size_t host) {
+    host_state& it = *hosts_[host];
+    crash_host(host);
+    it.running = true;
+    it.listening = true;
+    it.service = other_service;
+    kill_host_process(host);
+    start_host_process(host);
+}
+
+void relay_world::cut_store(std::size_t entry) {
+    entries_[entry]->store = false;
+    if (entries_[entry]->process)
+        entries_[entry]->process->on_store_error(time());
+}
+
+void relay_world::restore_store(std::size_t entry) {
+    entries_[entry]->store = true;
+    list(entry);
+}
+
+void relay_world::lapse_all() {
+    for (std::size_t i = 0; i < entries_.size(); ++i)
+        cut_store(i);
+    for (auto& it : hosts_)
+        it->registered = false;
+    ++revision_;
+}
+
+// Every host's new registration is a new key, as a new run's is.
+relay::host_record relay_world::record_of(std::size_t host) const {
+    const host_state& it = *hosts_[host];
+    return {.key = relay::host_key(host * 100 + it.boot),
+            .service = it.service,
+            .address = it.address,
+            .data_centre = data_centre,
+            .draining = it.draining,
+            .slots = 2,
+            .started = wall_clock(it.booted_at)};
+}
+
+// One change of a host's registration, seen by all who can read the store.
+void relay_world::publish(std::size_t host) {
+    host_state& it = *hosts_[host];
+    it.revision = ++revision_;
+    relay::directory_change change{relay::revision(it.revision),
+                                   record_of(host)};
+    if (!it.registered)
+        change.what = relay::host_removed{record_of(host).key};
+    for (std::size_t i = 0; i < entries_.size(); ++i)
+        at(options_.delay, [this, i, change] {
+            if (entries_[i]->process && entries_[i]->store)
+                entries_[i]->process->on_changes(change.at, {change}, time());
+        });
+}
+
+void relay_world::list(std::size_t entry) {
+    entry_state& it = *entries_[entry];
+    if (!it.process)
+        return;
+    if (!it.store) {
+        it.process->on_store_error(time());
+        return;
+    }
+    relay::routing_document routing{.version = 1};
+    routing.routes.push_back({service_address, {{main_service, 1}}});
+    std::vector<relay::directory_change> items;
+    items.push_back({relay::revision(1), routing});
+    for (std::size_t i = 0; i < hosts_.size(); ++i)
+        if (hosts_[i]->registered)
+            items.push_back(
+                {relay::revision(hosts_[i]->revision), record_of(i)});
+    it.process->on_listing(relay::revision(revision_), std::move(items),
+                           time());
+}
+
+std::uint64_t relay_world::placed_at(std::size_t host) const {
+    return hosts_[host]->placed;
+}
+
+bool relay_world::entry_ready(std::size_t entry) const {
+    const auto& it = entries_[entry]->process;
+    return it && it->ready(time_point(now_));
+}
+
+const relay::directory& relay_world::directory_of(std::size_t entry) const {
+    return entries_[entry]->process->known();
+}
+
+} // namespace arbutusport::emulator
