Search all hosts for a flow, whatever its route names now

The flow was reset at a host of the former service.

A fresh entry also concludes 90 ms earlier, and is ready 260 ms earlier.

--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -34,7 +34,7 @@
     duration open_timeout = std::chrono::milliseconds(1500);
     /// After its start an entry calls no flow lost for this long: hellos of
     /// other entries, which name departed hosts, take a round trip of 15 ms.
-    duration start_delay = std::chrono::milliseconds(150);
+    duration start_delay = std::chrono::milliseconds(60);
     /// Hosts that one opening packet is sent to without a copy by the client.
     std::size_t max_hedges = 2;
     /// Hosts that may send one opening packet back before the client is told.
@@ -70,8 +70,10 @@
 
     void on_client(const segment& it, time_point now);
     void on_message(machine_address from, const message& it, time_point now);
-    /// @brief Call every 25 ms or so.
+    /// @brief Call every 10 ms or so.
     void on_tick(time_point now);
+    /// @brief Call after each batch of packets or messages.
+    void flush(time_point now) { search_.flush(now); }
 
     /// @brief For the reader of the store.
     void on_listing(revision as_of, std::vector<directory_change> items,
--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -73,7 +73,9 @@
     bool host_is_dead(machine_address machine) const;
     /// @brief Every known process answered a first hello, or is silent.
     bool all_heard(time_point now) const;
-    /// @brief Everybody who may own a flow of one of these services.
+    /// @brief Everybody who may own a flow. Hosts of the services that its
+    /// route names now are the likely ones, but a flow stays where it is when
+    /// a configuration moves its route.
     std::vector<owner_search::target>
     possible_owners(std::span<const service_tag> services, data_centre_id own,
                     std::uint64_t flow_hash) const;
--- a/packages/core/include/arbutusport/relay/owner_search.hpp
+++ b/packages/core/include/arbutusport/relay/owner_search.hpp
@@ -29,7 +29,7 @@
     duration retry_interval = std::chrono::milliseconds(150);
     /// Between the last denial and the conclusion, for hosts and owners that
     /// are announced meanwhile; a message between data centres takes 6 ms.
-    duration conclusion_delay = std::chrono::milliseconds(50);
+    duration conclusion_delay = std::chrono::milliseconds(25);
     /// How often silent processes are asked on behalf of one packet.
     std::uint32_t max_rounds = 3;
     /// What was denied is remembered for this long after the last packet;
@@ -83,6 +83,9 @@
     /// @brief Ends a search that a new opening packet makes pointless.
     void forget(const flow_key& flow) { searches_.erase(flow); }
     void on_tick(time_point now);
+    /// @brief Sends the queries that have gathered; call it after a batch of
+    /// packets or messages.
+    void flush(time_point now) { send_queries(now); }
     bool active(const flow_key& flow) const { return searches_.contains(flow); }
     std::size_t size() const { return searches_.size(); }
 
@@ -117,7 +120,7 @@
     hooks hooks_;
     byte_budget budget_;
     std::unordered_map<flow_key, search> searches_;
-    // Queries that leave with the next tick.
+    // Queries that leave with the next flush or tick.
     std::map<machine_address, std::vector<flow_key>> queries_;
 };
 
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -14,8 +14,9 @@
 };
 
 // Processes beside hosts get this long to send the flows that they have,
-// before an entry that has just started takes traffic.
-constexpr duration flows_wait = std::chrono::milliseconds(300);
+// before an entry that has just started takes traffic. A failed readiness
+// check costs half a second, so the wait covers a round trip and little more.
+constexpr duration flows_wait = std::chrono::milliseconds(40);
 // Peers are ahead and the own directory has not moved for this long: the own
 // reading is stuck. Readings of one change lie some milliseconds apart.
 constexpr duration stuck_limit = std::chrono::milliseconds(700);
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -142,10 +142,12 @@
     std::vector<std::pair<std::uint64_t, machine_address>> near;
     for (const auto& [machine, it] : peers_) {
         const bool dead = it.heard && it.report.host == host_state::dead;
-        if (dead || std::ranges::find(services, it.service) == services.end())
+        if (dead)
             continue;
         out.push_back({machine, it.service});
-        if (it.data_centre == own)
+        const bool named =
+            std::ranges::find(services, it.service) != services.end();
+        if (named && it.data_centre == own)
             near.emplace_back(placement_rank(flow_hash, machine), machine);
     }
     const auto n = std::min(near.size(), options_.likely_owners);
--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -72,6 +72,10 @@
     /// @brief The host's address now belongs to a host of another service.
     void reuse_address(std::size_t host);
 
+    /// @brief A new configuration sends new flows to another service, which
+    /// has no host here.
+    void move_route();
+
     /// @brief The entry cannot read the store.
     void cut_store(std::size_t entry);
     void restore_store(std::size_t entry);
@@ -107,6 +111,8 @@
     void tick();
     void publish(std::size_t host);
     void list(std::size_t entry);
+    relay::directory_change routing() const;
+    void send_change(const relay::directory_change& it);
     relay::host_record record_of(std::size_t host) const;
     void send_to_host(relay::machine_address from, relay::machine_address to,
                       relay::relay_mark mark, byte_view data);
@@ -127,6 +133,8 @@
     duration now_{};
     std::uint64_t random_;
     std::uint64_t revision_ = 1;
+    std::uint64_t routing_revision_ = 1;
+    service_id routed_;
     std::vector<std::unique_ptr<entry_state>> entries_;
     std::vector<std::unique_ptr<host_state>> hosts_;
     std::vector<flow_state> flows_;
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -104,7 +104,7 @@
 };
 
 relay_world::relay_world(relay_world_options options)
-    : options_(options), random_(options.seed * 2 + 1) {
+    : options_(options), random_(options.seed * 2 + 1), routed_(main_service) {
     for (std::size_t i = 0; i < options.hosts; ++i) {
         hosts_.push_back(std::make_unique<host_state>());
         hosts_[i]->address = {first_host + static_cast<std::uint32_t>(i), 8080};
@@ -536,6 +536,10 @@
                                    record_of(host)};
     if (!it.registered)
         change.what = relay::host_removed{record_of(host).key};
+    send_change(change);
+}
+
+void relay_world::send_change(const relay::directory_change& change) {
     for (std::size_t i = 0; i < entries_.size(); ++i)
         at(options_.delay, [this, i, change] {
             if (entries_[i]->process && entries_[i]->store)
@@ -543,6 +547,18 @@
         });
 }
 
+void relay_world::move_route() {
+    routed_ = other_service;
+    routing_revision_ = ++revision_;
+    send_change(routing());
+}
+
+relay::directory_change relay_world::routing() const {
+    relay::routing_document it{.version = routing_revision_};
+    it.routes.push_back({service_address, {{routed_, 1}}});
+    return {relay::revision(routing_revision_), it};
+}
+
 void relay_world::list(std::size_t entry) {
     entry_state& it = *entries_[entry];
     if (!it.process)
@@ -551,10 +567,7 @@
         it.process->on_store_error(time());
         return;
     }
-    relay::routing_document routing{.version = 1};
-    routing.routes.push_back({service_address, {{main_service, 1}}});
-    std::vector<relay::directory_change> items;
-    items.push_back({relay::revision(1), routing});
+    std::vector<relay::directory_change> items{routing()};
     for (std::size_t i = 0; i < hosts_.size(); ++i)
         if (hosts_[i]->registered)
             items.push_back(
--- a/packages/testing/src/emulator/relay_world_test.cpp
+++ b/packages/testing/src/emulator/relay_world_test.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(closed_listener_of_draining_host_keeps_flows);
     CPPUNIT_TEST(departed_host_keeps_flows_at_a_fresh_entry);
     CPPUNIT_TEST(draining_host_gets_no_flow);
+    CPPUNIT_TEST(flows_stay_when_their_route_moves);
     CPPUNIT_TEST(reused_address_gets_no_flow_of_the_old_service);
     CPPUNIT_TEST(lapsed_registrations_keep_serving);
     CPPUNIT_TEST(entry_without_store_learns_from_peer);
@@ -258,6 +259,23 @@
         CPPUNIT_ASSERT_EQUAL(before, world.placed_at(1));
     }
 
+    // Guards against the resets in hunted days of consulta-sul (mix, seed
+    // 954212542912; configuration_storm, seed 1005640330318): weights changed,
+    // and only hosts of the services that the route names now were asked.
+    void flows_stay_when_their_route_moves() {
+        relay_world world({});
+        world.run_until(settled);
+        const auto flows = open_flows(world, 60);
+        world.move_route();
+        // Nobody remembers the flows, so that they have to be searched.
+        restart_everything(world, 6);
+        send_all(world, flows, 0);
+        world.run_for(seconds(2));
+        for (const auto it : flows)
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.answers(it));
+        CPPUNIT_ASSERT_EQUAL(std::string(), text_of(world.found()));
+    }
+
     void reused_address_gets_no_flow_of_the_old_service() {
         relay_world world({});
         world.run_until(settled);
