--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -116,6 +117,10 @@
     bool place(const flow_key& flow, opening& it, time_point now);
     std::optional<machine_address> next_host(const flow_key& flow, opening& it,
                                              time_point now);
+    std::optional<host_choice> best_host(const flow_key& flow,
+                                         service_id service,
+                                         std::span<const machine_address> tried,
+                                         time_point now) const;
     void search(const segment& it, std::optional<machine_address> denied,
                 time_point now);
     std::vector<owner_search::target>
--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -62,7 +62,7 @@
     /// @brief Machines whose hello is due; they count as sent.
     std::vector<machine_address> take_due(time_point now);
     void on_report(machine_address from, const load_report& it, time_point now);
-    void on_flows(machine_address from);
+    void on_flows(machine_address from, const flows_here& it);
     void on_placed(machine_address machine);
     void on_answered(machine_address machine);
     void on_unanswered(machine_address machine, time_point now);
--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -130,6 +130,7 @@
     void set_busy(owned& it, bool busy, time_point now);
     bool knows_all_flows(time_point now) const;
     load_report make_report(time_point now);
+    flows_here make_flows_here() const;
     void send_flows(machine_address to, data_centre_id data_centre,
                     time_point now);
     data_centre_id data_centre_of(machine_address entry) const;
--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -67,8 +67,11 @@
     std::uint32_t host_start = 0;
 };
 
-/// @brief "My host has these flows."
+/// @brief "My host has these flows", and its load now: after a loss of power
+/// hundreds of flows open between two reports.
 struct flows_here {
+    std::uint32_t outstanding = 0;
+    std::uint32_t total = 0;
     std::vector<owned_flow> flows;
 };
 
--- a/packages/core/include/arbutusport/relay/owner_search.hpp
+++ b/packages/core/include/arbutusport/relay/owner_search.hpp
@@ -29,7 +29,7 @@
     duration retry_interval = std::chrono::milliseconds(150);
     /// Between the last denial and the conclusion, for hosts and owners that
     /// are announced meanwhile; a message between data centres takes 6 ms.
-    duration conclusion_delay = std::chrono::milliseconds(25);
+    duration conclusion_delay = std::chrono::milliseconds(12);
     /// How often silent processes are asked on behalf of one packet.
     std::uint32_t max_rounds = 3;
     /// What was denied is remembered for this long after the last packet;
--- a/packages/core/include/arbutusport/relay/placement.hpp
+++ b/packages/core/include/arbutusport/relay/placement.hpp
@@ -44,6 +44,11 @@
     /// remote, so that its owner can be found by asking few. The best of six
     /// is close to the best of all.
     std::size_t ranked_hosts = 6;
+    /// A host with more requests per slot is about to reject some: hosts
+    /// queue a few for each slot.
+    double full_load = 2.5;
+    /// A host of another service of the route gets the flow only below this.
+    double spill_load = 1.0;
     /// Requests in progress that a flow adds when nothing was measured yet.
     double default_flow_load = 0.02;
 };
@@ -59,14 +64,28 @@
                                     std::uint64_t flow_hash,
                                     const placement_options& options = {});
 
-/// @brief Index of the host with the least expected load among those not in
-/// `tried`; unreachable hosts only if there is no other. Empty if all were
-/// tried. Equal hosts are chosen by `tie_breaker`.
-std::optional<std::size_t> choose_host(std::span<const candidate> hosts,
+struct host_choice {
+    machine_address machine;
+    bool reachable = true;
+    /// Requests per slot, with the penalties of the options.
+    double load = 0;
+};
+
+/// @brief The host with the least expected load among those not in `tried`;
+/// unreachable hosts only if there is no other. Empty if all were tried.
+/// Equal hosts are chosen by `tie_breaker`.
+std::optional<host_choice> choose_host(std::span<const candidate> hosts,
                                        std::span<const machine_address> tried,
                                        std::uint64_t tie_breaker,
                                        const placement_options& options = {});
 
+/// @brief Whether a flow is better placed at another service of its route:
+/// the service that the weights chose has no host left for it, or would
+/// reject its requests while the other has room.
+bool spills(const std::optional<host_choice>& chosen,
+            const std::optional<host_choice>& other,
+            const placement_options& options = {});
+
 /// @brief The service of a new flow, by the route's weights; the same for
 /// every copy of an opening packet. Empty if no weight is positive.
 std::optional<service_id> choose_service(const route& route,
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -33,7 +33,7 @@
             [&](const flows_here& one) {
                 for (const owned_flow& flow : one.flows)
                     on_flow(from, flow);
-                peers_.on_flows(from);
+                peers_.on_flows(from, one);
             },
             [&](const flow_denial& one) {
                 for (const flow_key& flow : one.not_here)
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -115,8 +115,7 @@
     const route* way = directory_.find_route(flow.service);
     if (way == nullptr)
         return std::nullopt;
-    const auto hash = hash_of(flow);
-    const auto service = choose_service(*way, hash);
+    const auto service = choose_service(*way, hash_of(flow));
     if (!service) {
         report({.severity = event::level::warning,
                 .name = "refused",
@@ -124,14 +123,21 @@
                 .flow = flow});
         return std::nullopt;
     }
-    it.service = tag_of(*service);
-    const auto hosts = ranked_hosts(
-        peers_.candidates(directory_, *service, options_.data_centre, now),
-        hash, options_.placement);
-    auto best = choose_host(hosts, it.tried, hash, options_.placement);
+    auto best = best_host(flow, *service, it.tried, now);
+    service_id used = *service;
+    for (const weighted_service& other : way->targets) {
+        if (other.service == *service || other.weight == 0)
+            continue;
+        const auto there = best_host(flow, other.service, it.tried, now);
+        if (!spills(best, there, options_.placement))
+            continue;
+        best = there;
+        used = other.service;
+        report({.name = "flow_spilled", .flow = flow});
+    }
     if (!best && !it.tried.empty()) {
         it.tried.clear();
-        best = choose_host(hosts, it.tried, hash, options_.placement);
+        best = best_host(flow, *service, it.tried, now);
     }
     if (!best) {
         report({.severity = event::level::warning,
@@ -140,7 +146,19 @@
                 .flow = flow});
         return std::nullopt;
     }
-    return hosts[*best].machine;
+    it.service = tag_of(used);
+    return best->machine;
+}
+
+std::optional<host_choice>
+entry_relay::best_host(const flow_key& flow, service_id service,
+                       std::span<const machine_address> tried,
+                       time_point now) const {
+    const auto hash = hash_of(flow);
+    const auto hosts = ranked_hosts(
+        peers_.candidates(directory_, service, options_.data_centre, now), hash,
+        options_.placement);
+    return choose_host(hosts, tried, hash, options_.placement);
 }
 
 void entry_relay::on_known_flow(const segment& it, hint& known,
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -42,7 +42,7 @@
 void host_relay::on_query(machine_address from, const flow_query& it,
                           time_point now) {
     flow_denial denial;
-    flows_here here;
+    flows_here here = make_flows_here();
     auto& others = knows_all_flows(now) ? denial.not_here : denial.unsure;
     for (const flow_key& flow : it.flows) {
         const auto known = flows_.find(flow);
@@ -124,9 +124,11 @@
 // next packet knows the owner.
 void host_relay::announce(const flow_key& flow, const owned& it, time_point now,
                           machine_address also) {
-    const message news = flows_here{{{.flow = flow,
-                                      .client_start = it.client_start,
-                                      .host_start = it.host_start}}};
+    flows_here here = make_flows_here();
+    here.flows.push_back({.flow = flow,
+                          .client_start = it.client_start,
+                          .host_start = it.host_start});
+    const message news = here;
     bool told = also == machine_address();
     for (const auto& [machine, one] : entries_) {
         if (machine != also && (one.data_centre != it.via ||
@@ -151,6 +153,11 @@
     return now - complete_since_ >= options_.idle_timeout;
 }
 
+flows_here host_relay::make_flows_here() const {
+    return {.outstanding = load_.outstanding(),
+            .total = static_cast<std::uint32_t>(flows_.size())};
+}
+
 load_report host_relay::make_report(time_point now) {
     load_report out{.run = options_.run,
                     .service = options_.service,
@@ -168,7 +175,7 @@
 
 void host_relay::send_flows(machine_address to, data_centre_id data_centre,
                             time_point) {
-    flows_here batch;
+    flows_here batch = make_flows_here();
     for (const auto& [flow, it] : flows_) {
         if (it.via != data_centre && it.via != data_centre_id())
             continue;
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -79,9 +79,16 @@
         known.unanswered = 0;
 }
 
-void host_peers::on_flows(machine_address from) {
-    if (const auto it = peers_.find(from); it != peers_.end())
-        it->second.sent_flows = true;
+void host_peers::on_flows(machine_address from, const flows_here& here) {
+    const auto it = peers_.find(from);
+    if (it == peers_.end())
+        return;
+    peer& known = it->second;
+    known.sent_flows = known.sent_flows || known.heard;
+    known.report.outstanding = here.outstanding;
+    known.report.flows = here.total;
+    const auto announced = static_cast<std::uint32_t>(here.flows.size());
+    known.placed_since -= std::min(known.placed_since, announced);
 }
 
 void host_peers::on_placed(machine_address machine) {
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -110,6 +110,8 @@
 
 void write(byte_writer& out, const flows_here& it) {
     put_type(out, type::flows_here);
+    out.put(it.outstanding);
+    out.put(it.total);
     put_count(out, it.flows.size());
     for (const owned_flow& flow : it.flows) {
         put(out, flow.flow);
@@ -203,6 +205,8 @@
 
 flows_here read_flows_here(byte_reader& in) {
     flows_here it;
+    it.outstanding = in.take<std::uint32_t>();
+    it.total = in.take<std::uint32_t>();
     for (auto n = in.take_count(flow_bytes); n > 0; --n) {
         owned_flow flow;
         flow.flow = take_flow(in);
--- a/packages/core/src/relay/messages_test.cpp
+++ b/packages/core/src/relay/messages_test.cpp
@@ -35,7 +35,7 @@
                         .busy_milli = 1500,
                         .flows = 6,
                         .entries = {machine_address(7)}},
-            flows_here{{{flow, 8, 9}}},
+            flows_here{1, 2, {{flow, 8, 9}}},
             flow_query{{flow}},
             flow_denial{.not_here = {flow}, .unsure = {flow, flow}},
             packet_returned{return_reason::wrong_service, {1, 2, 3}},
--- a/packages/core/src/relay/placement.cpp
+++ b/packages/core/src/relay/placement.cpp
@@ -60,28 +60,35 @@
     return out;
 }
 
-std::optional<std::size_t> choose_host(std::span<const candidate> hosts,
+std::optional<host_choice> choose_host(std::span<const candidate> hosts,
                                        std::span<const machine_address> tried,
                                        std::uint64_t tie_breaker,
                                        const placement_options& options) {
     const double flow_load = load_per_flow(hosts, options);
-    using rank = std::tuple<bool, double, std::uint64_t>;
-    std::optional<std::size_t> best;
-    rank best_rank;
-    for (std::size_t i = 0; i < hosts.size(); ++i) {
-        const candidate& it = hosts[i];
+    const auto rank = [&](const host_choice& it) {
+        return std::tuple(!it.reachable, it.load,
+                          hash_combine(tie_breaker, it.machine.value()));
+    };
+    std::optional<host_choice> best;
+    for (const candidate& it : hosts) {
         if (std::ranges::find(tried, it.machine) != tried.end())
             continue;
-        const rank own{!it.reachable, expected_load(it, flow_load, options),
-                       hash_combine(tie_breaker, it.machine.value())};
-        if (!best || own < best_rank) {
-            best = i;
-            best_rank = own;
-        }
+        const host_choice own{it.machine, it.reachable,
+                              expected_load(it, flow_load, options)};
+        if (!best || rank(own) < rank(*best))
+            best = own;
     }
     return best;
 }
 
+bool spills(const std::optional<host_choice>& chosen,
+            const std::optional<host_choice>& other,
+            const placement_options& options) {
+    if (!other || !other->reachable || other->load > options.spill_load)
+        return false;
+    return !chosen || !chosen->reachable || chosen->load > options.full_load;
+}
+
 std::optional<service_id> choose_service(const route& route,
                                          std::uint64_t flow_hash) {
     std::uint64_t total = 0;
--- a/packages/core/src/relay/placement_test.cpp
+++ b/packages/core/src/relay/placement_test.cpp
@@ -23,7 +23,7 @@
 
 std::uint32_t chosen(const std::vector<candidate>& hosts,
                      std::uint64_t tie_breaker = 0) {
-    return hosts[*choose_host(hosts, {}, tie_breaker)].machine.value();
+    return choose_host(hosts, {}, tie_breaker)->machine.value();
 }
 
 } // namespace
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(ranks_limit_where_a_flow_may_be);
     CPPUNIT_TEST(ranks_move_little_when_a_host_joins);
     CPPUNIT_TEST(weights_divide_flows);
+    CPPUNIT_TEST(a_full_service_spills_to_one_with_room);
     CPPUNIT_TEST(load_meter_follows_requests);
     CPPUNIT_TEST_SUITE_END();
 
@@ -118,8 +119,9 @@
         const std::vector<candidate> hosts{local(1), local(2)};
         const std::vector<machine_address> both{machine_address(1),
                                                 machine_address(2)};
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                             *choose_host(hosts, std::span(both).first(1), 0));
+        CPPUNIT_ASSERT(
+            choose_host(hosts, std::span(both).first(1), 0)->machine ==
+            machine_address(2));
         CPPUNIT_ASSERT(!choose_host(hosts, both, 0));
     }
 
@@ -162,6 +164,22 @@
         CPPUNIT_ASSERT(!choose_service(off, 1));
     }
 
+    // After a loss of power a service with few slots rejected requests while
+    // the other service of its route was free.
+    void a_full_service_spills_to_one_with_room() {
+        const host_choice full{.load = 3};
+        const host_choice busy{.load = 1.5};
+        const host_choice free{.load = 0.2};
+        const host_choice silent{.reachable = false};
+        CPPUNIT_ASSERT(spills(full, free));
+        CPPUNIT_ASSERT(spills(std::nullopt, free));
+        CPPUNIT_ASSERT(spills(silent, free));
+        CPPUNIT_ASSERT(!spills(busy, free));
+        CPPUNIT_ASSERT(!spills(full, busy));
+        CPPUNIT_ASSERT(!spills(full, silent));
+        CPPUNIT_ASSERT(!spills(full, std::nullopt));
+    }
+
     void load_meter_follows_requests() {
         using std::chrono::seconds;
         load_meter it;
