One entry a data centre reads the store and pushes the directory to the others

Cause of the dearest price on the grown sites: each of 15 to 21 entries watched the store, and every change of a host woke all of them. The entry with the highest rank reads; the others take over when it is silent for 1.2 s or turned away. Three tests drive the choice and both failures.

--- a/packages/core/include/arbutusport/relay/directory.hpp
+++ b/packages/core/include/arbutusport/relay/directory.hpp
@@ -82,6 +82,8 @@
 struct directory_view {
     revision as_of;
     revision routing_at;
+    /// Otherwise `routing` is empty and the reader's own is of `routing_at`.
+    bool has_routes = true;
     routing_document routing;
     struct host {
         revision at;
@@ -118,7 +120,8 @@
     void apply(const directory_change& change, time_point now);
     /// @brief Everything up to `as_of` was applied.
     void advance(revision as_of);
-    /// @brief A peer's copy, adopted only if it is newer.
+    /// @brief A peer's copy, adopted only if it is newer and, where it leaves
+    /// the routes out, the own routes are the same.
     bool adopt_view(const directory_view& view, time_point now);
     directory_view view() const;
 
@@ -135,6 +138,7 @@
     revision as_of() const { return as_of_; }
     /// @brief Equal for equal contents, whatever the revision.
     std::uint64_t digest() const { return digest_; }
+    revision routing_at() const { return routing_at_; }
     std::uint64_t version() const { return routing_.version; }
     duration idle_timeout() const { return routing_.idle_timeout; }
     const route* find_route(const endpoint& service) const;
--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -61,6 +61,9 @@
     /// The store has to be read anew: this process was paused, or its
     /// reading is stuck.
     std::function<void(const char* reason)> read_again;
+    /// Starts or stops reading the store, from the given revision on. Called
+    /// on changes only; reading is on at first.
+    std::function<void(bool reads, revision after)> set_reading;
     std::function<void(const event&)> report;
 };
 
@@ -127,6 +130,7 @@
     search_targets(const flow_key& flow) const;
     void conclude_nowhere(const flow_key& flow, std::uint32_t acknowledged);
     void hedge(time_point now);
+    void choose_reader(time_point now);
     peer_entries::standing standing() const;
     void send_hellos(time_point now);
 
@@ -152,6 +156,9 @@
     // When a directory was first there.
     std::optional<time_point> directory_at_;
     time_point read_again_at_;
+    // This process reads the store for its data centre.
+    bool reading_ = true;
+    bool store_was_lost_ = false;
 };
 
 } // namespace arbutusport::relay
--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -115,6 +115,8 @@
     data_centre_id data_centre;
     revision as_of;
     std::uint64_t digest = 0;
+    /// The sender reads the store, and the store answers.
+    bool reads_store = false;
     bool is_reply = false;
     std::vector<machine_address> entries;
     std::vector<departed_host> departed;
@@ -144,7 +146,9 @@
 /// Content of one part; fits an Ethernet frame with its headers.
 inline constexpr std::size_t max_part_bytes = 1200;
 
-bytes encode_view(const directory_view& it);
+/// @brief Without routes, the view is of use only to a process that has the
+/// same routes.
+bytes encode_view(const directory_view& it, bool with_routes = true);
 result<directory_view> decode_view(byte_view data);
 
 /// Flows of one flows_here message; fits an Ethernet frame.
--- a/packages/core/include/arbutusport/relay/peer_entries.hpp
+++ b/packages/core/include/arbutusport/relay/peer_entries.hpp
@@ -27,6 +27,10 @@
     /// A directory that is older than a peer's for this long is asked for;
     /// the own reading of the store normally brings it sooner.
     duration behind_limit = std::chrono::milliseconds(500);
+    /// A reader that is silent for longer is replaced: two hellos were missed.
+    duration reader_silence = std::chrono::milliseconds(1200);
+    /// Changes within this time are pushed together.
+    duration push_interval = std::chrono::milliseconds(40);
     /// Between two requests for a directory; doubles while none arrives, so
     /// that a full link is not filled further.
     duration request_interval = std::chrono::milliseconds(200);
@@ -39,6 +43,7 @@
     struct standing {
         const directory& known;
         bool store_lost = false;
+        bool reads_store = true;
         std::vector<departed_host> departed;
     };
     using send = std::function<void(machine_address, const message&)>;
@@ -49,6 +54,14 @@
     void on_hello(machine_address from, const peer_hello& it,
                   const standing& own, time_point now);
     void on_request(machine_address from, const directory& known);
+    /// @brief Sends hellos at once, because what they say has changed.
+    void hurry() { round_at_ = {}; }
+    /// @brief Whether this process should read the store for its data
+    /// centre: no other entry there reads it with success, or none with a
+    /// higher rank while the own reading succeeds too.
+    bool should_read(bool store_lost, time_point now) const;
+    /// @brief Sends a changed directory to the entries of the data centre.
+    void push(const directory& known, time_point now);
     /// @brief A complete view, once its last part has arrived.
     std::optional<directory_view> on_part(machine_address from,
                                           const directory_part& it);
@@ -65,6 +78,7 @@
         data_centre_id data_centre;
         revision as_of;
         std::uint64_t digest = 0;
+        bool reads_store = false;
         // Parts received so far of the view that they name.
         directory_part receiving;
         std::map<std::uint16_t, bytes> parts;
@@ -74,6 +88,8 @@
                           time_point now) const;
     void send_hellos(const standing& own, time_point now);
     void request_directory(const standing& own, time_point now);
+    void send_view(machine_address to, const directory& known,
+                   bool with_routes) const;
     std::optional<machine_address> newer_peer(const directory& known,
                                               time_point now) const;
 
@@ -90,6 +106,10 @@
     std::optional<time_point> behind_since_;
     time_point request_due_;
     duration request_pause_{};
+    // What was pushed last.
+    std::uint64_t pushed_digest_ = 0;
+    revision pushed_routing_;
+    time_point pushed_at_;
 };
 
 } // namespace arbutusport::relay
--- a/packages/core/include/arbutusport/relay/store_reader.hpp
+++ b/packages/core/include/arbutusport/relay/store_reader.hpp
@@ -43,6 +43,8 @@
     void on_error();
     /// @brief A new listing is due, whatever was read before.
     void restart();
+    /// @brief Others have read up to `after` meanwhile.
+    void resume(revision after);
 
 private:
     duration jittered(duration it);
--- a/packages/core/src/relay/directory.cpp
+++ b/packages/core/src/relay/directory.cpp
@@ -1,6 +1,7 @@
 // The process's copy of routes and hosts.
 
 #include <arbutusport/base/hash.hpp>
+#include <arbutusport/base/overloaded.hpp>
 #include <arbutusport/relay/directory.hpp>
 
 #include <algorithm>
@@ -8,15 +9,6 @@
 
 namespace arbutusport::relay {
 
-namespace {
-
-template <class... Handlers>
-struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-
-} // namespace
-
 bool directory::adopt_listing(revision as_of,
                               std::vector<directory_change> items,
                               time_point now) {
@@ -59,10 +51,12 @@
 }
 
 bool directory::adopt_view(const directory_view& view, time_point now) {
-    if (view.as_of <= as_of_)
+    if (view.as_of <= as_of_ ||
+        (!view.has_routes && view.routing_at != routing_at_))
         return false;
     std::set<host_key> listed;
-    apply_routing(view.routing_at, view.routing);
+    if (view.has_routes)
+        apply_routing(view.routing_at, view.routing);
     for (const auto& it : view.hosts) {
         listed.insert(it.record.key);
         apply_host(it.at, it.record, now);
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -1,5 +1,6 @@
 // The control side of an entry: messages, the directory and time.
 
+#include <arbutusport/base/overloaded.hpp>
 #include <arbutusport/relay/entry_relay.hpp>
 
 #include <algorithm>
@@ -8,11 +9,6 @@
 
 namespace {
 
-template <class... Handlers>
-struct overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-
 // Processes beside hosts get this long to send the flows that they have,
 // before an entry that has just started takes traffic. A failed readiness
 // check costs half a second, so the wait covers a round trip and little more.
@@ -153,8 +149,11 @@
     if (directory_.digest() != digest_seen_)
         on_directory_changed("lapsed", now);
     send_hellos(now);
+    choose_reader(now);
     entries_.on_tick(standing(), now);
-    if (entries_.is_stuck(directory_, stuck_limit, now) &&
+    if (reading_)
+        entries_.push(directory_, now);
+    if (reading_ && entries_.is_stuck(directory_, stuck_limit, now) &&
         now - read_again_at_ > read_again_interval) {
         read_again_at_ = now;
         hooks_.read_again("behind_peers");
@@ -164,7 +163,10 @@
 }
 
 peer_entries::standing entry_relay::standing() const {
-    return {directory_, directory_.store_is_lost(), peers_.departed()};
+    return {.known = directory_,
+            .store_lost = directory_.store_is_lost(),
+            .reads_store = reading_ && directory_.ready(),
+            .departed = peers_.departed()};
 }
 
 void entry_relay::send_hellos(time_point now) {
@@ -239,7 +241,29 @@
 }
 
 void entry_relay::on_store_error(time_point now) {
-    directory_.store_lost(now);
+    if (reading_)
+        directory_.store_lost(now);
+}
+
+// One entry reads the store for its data centre and pushes what changes; the
+// next by rank takes over when it is silent or turned away. Calls to the
+// store thus grow with the data centres, not with the entries.
+void entry_relay::choose_reader(time_point now) {
+    const bool lost = directory_.store_is_lost();
+    if (lost != store_was_lost_) {
+        store_was_lost_ = lost;
+        entries_.hurry();
+    }
+    const bool reads = !directory_.ready() || entries_.should_read(lost, now);
+    if (reads == reading_)
+        return;
+    reading_ = reads;
+    entries_.hurry();
+    report({.severity = event::level::info,
+            .name = reads ? "reads_store" : "follows_reader"});
+    if (!reads)
+        directory_.store_regained(now);
+    hooks_.set_reading(reads, directory_.as_of());
 }
 
 void entry_relay::on_directory_changed(const char* reason, time_point now) {
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -156,6 +156,7 @@
     out.put(it.data_centre.value());
     out.put(it.as_of.value());
     out.put(it.digest);
+    put_flag(out, it.reads_store);
     put_flag(out, it.is_reply);
     put(out, it.entries);
     put_count(out, it.departed.size());
@@ -230,6 +231,7 @@
     it.data_centre = data_centre_id(in.take<std::uint64_t>());
     it.as_of = revision(in.take<std::uint64_t>());
     it.digest = in.take<std::uint64_t>();
+    it.reads_store = take_flag(in);
     it.is_reply = take_flag(in);
     it.entries = take_machines(in);
     for (auto n = in.take_count(departed_bytes); n > 0; --n) {
@@ -374,11 +376,13 @@
     return out;
 }
 
-bytes encode_view(const directory_view& it) {
+bytes encode_view(const directory_view& it, bool with_routes) {
     byte_writer out;
     out.put(it.as_of.value());
     out.put(it.routing_at.value());
-    write_routing(out, it.routing);
+    put_flag(out, with_routes);
+    if (with_routes)
+        write_routing(out, it.routing);
     put_count(out, it.hosts.size());
     for (const auto& host : it.hosts)
         write_host(out, host);
@@ -390,7 +394,9 @@
     directory_view it;
     it.as_of = revision(in.take<std::uint64_t>());
     it.routing_at = revision(in.take<std::uint64_t>());
-    it.routing = read_routing(in);
+    it.has_routes = take_flag(in);
+    if (it.has_routes)
+        it.routing = read_routing(in);
     for (auto n = in.take_count(host_bytes); n > 0; --n)
         it.hosts.push_back(read_host(in));
     if (!in.complete())
--- a/packages/core/src/relay/peer_entries.cpp
+++ b/packages/core/src/relay/peer_entries.cpp
@@ -1,5 +1,6 @@
 // Hellos between entries, and the transfer of a newer directory.
 
+#include <arbutusport/base/hash.hpp>
 #include <arbutusport/relay/peer_entries.hpp>
 
 #include <algorithm>
@@ -15,6 +16,9 @@
 // A peer that was heard of before this is not asked for its directory.
 constexpr duration source_silence = std::chrono::seconds(2);
 
+// Makes the choice of readers independent of other choices by rank.
+constexpr std::uint64_t reader_seed = 0x72656164;
+
 } // namespace
 
 peer_entries::peer_entries(peer_entry_options options, send send_message)
@@ -62,6 +66,7 @@
     it.data_centre = hello.data_centre;
     it.as_of = hello.as_of;
     it.digest = hello.digest;
+    it.reads_store = hello.reads_store;
     if (!hello.is_reply)
         send_(from, make_hello(own, true, now));
     request_directory(own, now);
@@ -111,20 +116,51 @@
 }
 
 void peer_entries::on_request(machine_address from, const directory& known) {
-    if (!known.ready())
+    if (known.ready())
+        send_view(from, known, true);
+}
+
+void peer_entries::push(const directory& known, time_point now) {
+    if (!known.ready() || known.digest() == pushed_digest_ ||
+        now - pushed_at_ < options_.push_interval)
         return;
-    const bytes whole = encode_view(known.view());
+    const bool with_routes = known.routing_at() != pushed_routing_;
+    pushed_digest_ = known.digest();
+    pushed_routing_ = known.routing_at();
+    pushed_at_ = now;
+    for (const auto& [machine, it] : peers_)
+        if (it.data_centre == options_.data_centre &&
+            now - it.heard_at <= options_.reader_silence &&
+            it.digest != known.digest())
+            send_view(machine, known, with_routes);
+}
+
+bool peer_entries::should_read(bool store_lost, time_point now) const {
+    const auto rank = [](machine_address it) {
+        return hash_combine(it.value(), reader_seed);
+    };
+    return std::ranges::none_of(peers_, [&](const auto& it) {
+        const peer& one = it.second;
+        return one.reads_store && one.data_centre == options_.data_centre &&
+               now - one.heard_at <= options_.reader_silence &&
+               (store_lost || rank(it.first) > rank(options_.self));
+    });
+}
+
+void peer_entries::send_view(machine_address to, const directory& known,
+                             bool with_routes) const {
+    const bytes whole = encode_view(known.view(), with_routes);
     const byte_view all(whole);
     const auto count = (whole.size() + max_part_bytes - 1) / max_part_bytes;
     for (std::size_t i = 0; i < count; ++i) {
         const auto part = all.subspan(
             i * max_part_bytes,
             std::min(max_part_bytes, whole.size() - i * max_part_bytes));
-        send_(from, directory_part{.as_of = known.as_of(),
-                                   .digest = known.digest(),
-                                   .index = static_cast<std::uint16_t>(i),
-                                   .count = static_cast<std::uint16_t>(count),
-                                   .content = bytes(part.begin(), part.end())});
+        send_(to, directory_part{.as_of = known.as_of(),
+                                 .digest = known.digest(),
+                                 .index = static_cast<std::uint16_t>(i),
+                                 .count = static_cast<std::uint16_t>(count),
+                                 .content = bytes(part.begin(), part.end())});
     }
 }
 
@@ -181,6 +217,7 @@
             .data_centre = options_.data_centre,
             .as_of = own.known.as_of(),
             .digest = own.known.digest(),
+            .reads_store = own.reads_store && !own.store_lost,
             .is_reply = is_reply,
             .entries = live(now),
             .departed = own.departed};
--- a/packages/core/src/relay/store_reader.cpp
+++ b/packages/core/src/relay/store_reader.cpp
@@ -40,6 +40,11 @@
     backoff_ = {};
 }
 
+void store_reader::resume(revision after) {
+    after_ = std::max(after_, after);
+    backoff_ = {};
+}
+
 // Between half and all of `it`, so that processes that failed together do not
 // return together.
 duration store_reader::jittered(duration it) {
--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -85,6 +85,11 @@
     std::uint64_t bytes_sent_by_entries() const { return entry_bytes_; }
     std::uint64_t resets() const { return resets_; }
     std::uint64_t placed_at(std::size_t host) const;
+    /// @brief Answers of the store so far.
+    std::uint64_t store_answers() const { return store_answers_; }
+    /// @brief Entries that read the store now, and the first of them.
+    std::size_t readers() const;
+    std::size_t reader() const;
     bool entry_ready(std::size_t entry) const;
     const relay::directory& directory_of(std::size_t entry) const;
     const violations& found() const { return violations_; }
@@ -143,6 +148,7 @@
     std::uint64_t next_event_ = 0;
     std::uint64_t entry_bytes_ = 0;
     std::uint64_t resets_ = 0;
+    std::uint64_t store_answers_ = 0;
     violations violations_;
 };
 
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -100,6 +100,7 @@
     std::unique_ptr<relay::entry_relay> process;
     std::uint64_t run = 0;
     bool store = true;
+    bool reads = true;
     machine_address machine;
 };
 
@@ -186,7 +187,17 @@
                         list(entry);
                 });
             },
+        .set_reading =
+            [this, entry, alive](bool reads, relay::revision) {
+                entries_[entry]->reads = reads;
+                if (reads)
+                    at(4 * options_.delay, [this, entry, alive] {
+                        if (alive())
+                            list(entry);
+                    });
+            },
         .report = [](const relay::event&) {}};
+    it.reads = true;
     it.process = std::make_unique<relay::entry_relay>(
         relay::entry_relay_options{
             .run = incarnation(run),
@@ -542,8 +553,11 @@
 void relay_world::send_change(const relay::directory_change& change) {
     for (std::size_t i = 0; i < entries_.size(); ++i)
         at(options_.delay, [this, i, change] {
-            if (entries_[i]->process && entries_[i]->store)
-                entries_[i]->process->on_changes(change.at, {change}, time());
+            entry_state& it = *entries_[i];
+            if (!it.process || !it.store || !it.reads)
+                return;
+            ++store_answers_;
+            it.process->on_changes(change.at, {change}, time());
         });
 }
 
@@ -565,8 +579,15 @@
         return;
     if (!it.store) {
         it.process->on_store_error(time());
+        // Readers try again.
+        at(milliseconds(500), [this, entry, run = it.run] {
+            if (entries_[entry]->process && entries_[entry]->run == run &&
+                entries_[entry]->reads && !entries_[entry]->store)
+                list(entry);
+        });
         return;
     }
+    ++store_answers_;
     std::vector<relay::directory_change> items{routing()};
     for (std::size_t i = 0; i < hosts_.size(); ++i)
         if (hosts_[i]->registered)
@@ -580,6 +601,17 @@
     return hosts_[host]->placed;
 }
 
+std::size_t relay_world::readers() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        entries_, [](const auto& it) { return it->process && it->reads; }));
+}
+
+std::size_t relay_world::reader() const {
+    const auto it = std::ranges::find_if(
+        entries_, [](const auto& one) { return one->process && one->reads; });
+    return static_cast<std::size_t>(it - entries_.begin());
+}
+
 bool relay_world::entry_ready(std::size_t entry) const {
     const auto& it = entries_[entry]->process;
     return it && it->ready(time_point(now_));
--- a/packages/testing/src/emulator/relay_world_test.cpp
+++ b/packages/testing/src/emulator/relay_world_test.cpp
@@ -60,6 +60,9 @@
     CPPUNIT_TEST(reused_address_gets_no_flow_of_the_old_service);
     CPPUNIT_TEST(lapsed_registrations_keep_serving);
     CPPUNIT_TEST(entry_without_store_learns_from_peer);
+    CPPUNIT_TEST(one_entry_reads_for_its_data_centre);
+    CPPUNIT_TEST(another_entry_reads_when_the_reader_dies);
+    CPPUNIT_TEST(another_entry_reads_when_the_store_turns_one_away);
     CPPUNIT_TEST(unknown_route_without_store_is_not_refused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -332,6 +335,55 @@
         CPPUNIT_ASSERT(drains);
     }
 
+    // Each watch is a priced call: ten hosts that change cost ten calls a
+    // reader.
+    void one_entry_reads_for_its_data_centre() {
+        relay_world world({.entries = 6, .hosts = 10});
+        world.run_until(settled);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.readers());
+        const auto before = world.store_answers();
+        for (std::size_t i = 0; i < 10; ++i) {
+            world.drain_host(i);
+            world.run_for(milliseconds(100));
+            for (std::size_t entry = 0; entry < 6; ++entry)
+                CPPUNIT_ASSERT(drains(world, entry) == i + 1);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, world.store_answers() - before);
+        // A new configuration comes with its routes.
+        world.move_route();
+        world.run_for(milliseconds(100));
+        for (std::size_t entry = 0; entry < 6; ++entry)
+            CPPUNIT_ASSERT(world.directory_of(entry).version() > 1);
+    }
+
+    void another_entry_reads_when_the_reader_dies() {
+        relay_world world({.entries = 4});
+        world.run_until(settled);
+        const auto reader = world.reader();
+        world.kill_entry(reader);
+        world.drain_host(1);
+        // A configuration has to be in force within 3 s.
+        world.run_for(milliseconds(2500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.readers());
+        for (std::size_t entry = 0; entry < 4; ++entry)
+            if (entry != reader)
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, drains(world, entry));
+    }
+
+    void another_entry_reads_when_the_store_turns_one_away() {
+        relay_world world({.entries = 4});
+        world.run_until(settled);
+        const auto reader = world.reader();
+        world.cut_store(reader);
+        world.drain_host(1);
+        world.run_for(milliseconds(2500));
+        CPPUNIT_ASSERT(world.reader() != reader);
+        for (std::size_t entry = 0; entry < 4; ++entry)
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, drains(world, entry));
+        // Those that follow know as much as the reader, so they may refuse.
+        CPPUNIT_ASSERT(!world.directory_of(reader).store_is_lost());
+    }
+
     void unknown_route_without_store_is_not_refused() {
         constexpr std::uint16_t unknown_port = 444;
         relay_world world({.entries = 1});
@@ -347,6 +399,14 @@
     }
 
 private:
+    // Draining hosts that the entry knows of.
+    static std::size_t drains(const relay_world& world, std::size_t entry) {
+        std::size_t n = 0;
+        for (const auto& [key, it] : world.directory_of(entry).hosts())
+            n += it.record.draining ? 1 : 0;
+        return n;
+    }
+
     static void restart_everything(relay_world& world, std::size_t hosts) {
         for (std::size_t i = 0; i < 3; ++i)
             world.kill_entry(i);
