--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -86,7 +86,8 @@
                     time_point now);
     void on_store_error(time_point now);
 
-    /// @brief It can place flows and knows those of its data centre.
+    /// @brief It can place flows, knows those of its data centre and reaches
+    /// some host.
     bool ready(time_point now) const;
     const directory& known() const { return directory_; }
     std::size_t hints() const { return hints_.size(); }
--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -18,6 +18,8 @@
     /// Interval of hellos to each process; load decisions are at most this
     /// old.
     duration hello_interval = std::chrono::milliseconds(400);
+    /// Two hellos without an answer, and a round trip.
+    duration cut_silence = std::chrono::milliseconds(900);
     /// A process that was silent for three hellos is not used for new flows.
     duration silence_limit = std::chrono::milliseconds(1300);
     /// A host may serve its flows for many seconds after its registration
@@ -71,6 +73,9 @@
 
     const peer* find(machine_address machine) const;
     bool host_is_dead(machine_address machine) const;
+    /// @brief No known process answered two hellos in a row: this machine is
+    /// cut off, or nothing can be served anyway.
+    bool all_silent(time_point now) const;
     /// @brief Every known process answered a first hello, or is silent.
     bool all_heard(time_point now) const;
     /// @brief Everybody who may own a flow. Hosts of the services that its
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -281,7 +281,8 @@
 }
 
 bool entry_relay::ready(time_point now) const {
-    return directory_at_ &&
+    // Routers must not send to a machine that is cut off from all hosts.
+    return directory_at_ && !peers_.all_silent(now) &&
            (peers_.all_heard(now) || now - *directory_at_ > flows_wait);
 }
 
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -128,6 +128,14 @@
     return it != nullptr && it->heard && it->report.host == host_state::dead;
 }
 
+bool host_peers::all_silent(time_point now) const {
+    return !peers_.empty() && std::ranges::all_of(peers_, [&](const auto& it) {
+        const peer& one = it.second;
+        const time_point since = one.heard ? one.heard_at : one.known_since;
+        return now - since > options_.cut_silence;
+    });
+}
+
 bool host_peers::all_heard(time_point now) const {
     for (const auto& [machine, it] : peers_)
         if (!it.heard && now - it.known_since < options_.silence_limit)
--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -55,6 +55,8 @@
 
     void kill_entry(std::size_t entry);
     void start_entry(std::size_t entry);
+    /// @brief Nothing gets from or to the entry's own peers.
+    void isolate_entry(std::size_t entry, bool isolated);
     void kill_host_process(std::size_t host);
     void start_host_process(std::size_t host);
     /// @brief The host forgets its flows; nothing listens any more.
@@ -112,6 +114,7 @@
 
     void at(duration delay, std::function<void()> action);
     bool lost();
+    bool is_isolated(relay::machine_address machine) const;
     time_point time() const { return time_point(now_); }
     void tick();
     void publish(std::size_t host);
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -101,6 +101,7 @@
     std::uint64_t run = 0;
     bool store = true;
     bool reads = true;
+    bool isolated = false;
     machine_address machine;
 };
 
@@ -213,6 +214,15 @@
     });
 }
 
+void relay_world::isolate_entry(std::size_t entry, bool isolated) {
+    entries_[entry]->isolated = isolated;
+}
+
+bool relay_world::is_isolated(machine_address machine) const {
+    const std::size_t entry = machine.value() - first_entry;
+    return entry < entries_.size() && entries_[entry]->isolated;
+}
+
 void relay_world::kill_entry(std::size_t entry) {
     entries_[entry]->process.reset();
 }
@@ -256,7 +266,7 @@
 void relay_world::send_to_host(machine_address from, machine_address to,
                                relay::relay_mark mark, byte_view data) {
     const std::size_t host = to.value() - first_host;
-    if (lost() || host >= hosts_.size())
+    if (lost() || is_isolated(from) || host >= hosts_.size())
         return;
     const bytes packet(data.begin(), data.end());
     at(options_.delay, [this, host, from, mark, packet] {
@@ -270,7 +280,7 @@
 
 void relay_world::send_message(machine_address from, machine_address to,
                                const relay::message& it) {
-    if (lost())
+    if (lost() || is_isolated(from) || is_isolated(to))
         return;
     at(options_.delay, [this, from, to, it] {
         if (to.value() >= first_host) {
--- a/packages/testing/src/emulator/relay_world_test.cpp
+++ b/packages/testing/src/emulator/relay_world_test.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(one_entry_reads_for_its_data_centre);
     CPPUNIT_TEST(another_entry_reads_when_the_reader_dies);
     CPPUNIT_TEST(another_entry_reads_when_the_store_turns_one_away);
+    CPPUNIT_TEST(an_isolated_entry_is_not_ready);
     CPPUNIT_TEST(unknown_route_without_store_is_not_refused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -384,6 +385,26 @@
         CPPUNIT_ASSERT(!world.directory_of(reader).store_is_lost());
     }
 
+    // Routers went on sending to an entry that was cut off from all machines
+    // (deploy/days/cut_off.toml, seed 7), because its readiness was good.
+    void an_isolated_entry_is_not_ready() {
+        relay_world world({});
+        world.run_until(settled);
+        CPPUNIT_ASSERT(world.entry_ready(0));
+        world.isolate_entry(0, true);
+        world.run_for(milliseconds(1400));
+        CPPUNIT_ASSERT(!world.entry_ready(0));
+        CPPUNIT_ASSERT(world.entry_ready(1));
+        world.isolate_entry(0, false);
+        world.run_for(milliseconds(500));
+        CPPUNIT_ASSERT(world.entry_ready(0));
+        // Silent hosts alone do not take an entry out.
+        world.kill_host_process(1);
+        world.kill_host_process(2);
+        world.run_for(seconds(2));
+        CPPUNIT_ASSERT(world.entry_ready(0));
+    }
+
     void unknown_route_without_store_is_not_refused() {
         constexpr std::uint16_t unknown_port = 444;
         relay_world world({.entries = 1});
