Forward to the chosen host with its own service's tag; take settings that change

Found by reading: when two hosts of different services accepted copies of one opening packet and the client chose the later one, its packets carried the other service's tag and came back once. A unit test fails without it.

--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -76,6 +76,9 @@
     void on_message(machine_address from, const message& it, time_point now);
     /// @brief Call every 10 ms or so.
     void on_tick(time_point now);
+    /// @brief Other entries, from settings that changed.
+    void learn_entries(const std::vector<machine_address>& machines,
+                       time_point now);
     /// @brief Call after each batch of packets or messages.
     void flush(time_point now) { search_.flush(now); }
 
@@ -101,6 +104,7 @@
         std::uint32_t client_start = 0;
         std::uint32_t host_start = 0;
         machine_address other;
+        service_tag other_service;
         std::uint32_t other_start = 0;
     };
     // An opening packet that no host has accepted yet.
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -70,16 +70,17 @@
 }
 
 void entry_relay::on_flow(machine_address from, const owned_flow& it) {
+    const auto* peer = peers_.find(from);
+    if (peer == nullptr)
+        return;
     hint* known = hints_.find(it.flow);
     if (known != nullptr && known->client_start == it.client_start &&
         known->owner != from) {
         // Two hosts accepted copies of one opening packet.
         known->other = from;
+        known->other_service = peer->service;
         known->other_start = it.host_start;
     } else {
-        const auto* peer = peers_.find(from);
-        if (peer == nullptr)
-            return;
         hints_.put(it.flow, {.owner = from,
                              .service = peer->service,
                              .client_start = it.client_start,
@@ -87,11 +88,17 @@
     }
     peers_.on_answered(from);
     openings_.erase(it.flow);
-    const relay_mark mark{handling::forward, hints_.find(it.flow)->service};
+    const relay_mark mark{handling::forward, peer->service};
     for (const bytes& packet : search_.on_found(it.flow, from))
         hooks_.forward(from, mark, packet);
 }
 
+void entry_relay::learn_entries(const std::vector<machine_address>& machines,
+                                time_point now) {
+    for (const machine_address it : machines)
+        entries_.learn(it, now);
+}
+
 void entry_relay::on_returned(machine_address from, const packet_returned& it,
                               time_point now) {
     const auto packet = hooks_.decode(it.datagram);
@@ -111,7 +118,8 @@
         return;
     }
     const hint* known = hints_.find(packet->flow);
-    if (known != nullptr && known->owner == from)
+    const bool accepted = known != nullptr;
+    if (accepted && known->owner == from)
         hints_.erase(packet->flow);
     if (!packet->opening()) {
         if (hint* other = hints_.find(packet->flow))
@@ -122,7 +130,7 @@
     }
     const auto open = openings_.find(packet->flow);
     // Another host accepted it, or the client has gone on.
-    if (open == openings_.end() || known != nullptr)
+    if (open == openings_.end() || accepted)
         return;
     if (++open->second.returns > options_.max_returns ||
         !place(packet->flow, open->second, now)) {
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -168,6 +168,8 @@
         if (it.acknowledged - known.other_start <
             it.acknowledged - known.host_start) {
             known.owner = known.other;
+            known.service = known.other_service;
+
             known.host_start = known.other_start;
         }
         known.other = {};
--- /dev/null
+++ b/packages/core/src/relay/entry_relay_test.cpp
@@ -0,0 +1,124 @@
+// Guards an entry's decisions packet by packet where the virtual world does
+// not reach: two hosts of different services that accept one opening packet.
+
+#include <arbutusport/relay/entry_relay.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace arbutusport::relay {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const time_point start{seconds(100)};
+const flow_key flow{{0x64400007, 40001}, {0xc6120001, 443}};
+const service_id first = service_id_of("participa");
+const service_id second = service_id_of("acervo");
+const machine_address first_machine(0x0a010001);
+const machine_address second_machine(0x0a010002);
+constexpr std::uint32_t client_start = 1000;
+
+struct forwarded {
+    machine_address to;
+    relay_mark mark;
+};
+
+// An entry that knows one host of each service.
+struct fixture {
+    std::vector<forwarded> packets;
+    std::size_t resets = 0;
+    bytes datagram = bytes(34);
+    entry_relay entry;
+
+    fixture()
+        : entry({.self = machine_address(0x0a010009)},
+                {.forward =
+                     [this](machine_address to, relay_mark mark, byte_view) {
+                         packets.push_back({to, mark});
+                     },
+                 .reset = [this](const flow_key&, std::uint32_t) { ++resets; },
+                 .send = [](machine_address, const message&) {},
+                 .decode = [](byte_view) { return std::nullopt; },
+                 .read_again = [](const char*) {},
+                 .set_reading = [](bool, revision) {},
+                 .report = [](const event&) {}}) {
+        routing_document routing{.version = 1};
+        routing.routes.push_back({flow.service, {{first, 1}, {second, 1}}});
+        entry.on_listing(revision(5),
+                         {{revision(2), routing},
+                          {revision(3), record(1, first, first_machine)},
+                          {revision(4), record(2, second, second_machine)}},
+                         start);
+    }
+
+    static host_record record(std::uint64_t key, service_id service,
+                              machine_address machine) {
+        return {.key = host_key(key),
+                .service = service,
+                .address = {machine.value(), 8080},
+                .slots = 2};
+    }
+
+    void client_sends(std::uint32_t sequence, std::uint32_t acknowledged,
+                      bool opening, time_point now) {
+        segment it;
+        it.flow = flow;
+        it.syn = opening;
+        it.ack = !opening;
+        it.sequence = sequence;
+        it.acknowledged = acknowledged;
+        it.datagram = datagram;
+        entry.on_client(it, now);
+    }
+
+    void host_accepts(machine_address from, std::uint32_t host_start,
+                      time_point now) {
+        entry.on_message(
+            from, flows_here{.flows = {{flow, client_start, host_start}}}, now);
+    }
+};
+
+} // namespace
+
+class entry_relay_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(entry_relay_test);
+    CPPUNIT_TEST(the_client_chooses_among_hosts_of_two_services);
+    CPPUNIT_TEST(a_copy_goes_to_the_host_that_accepted);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against packets with the tag of the other host's service, which
+    // the chosen host would send back.
+    void the_client_chooses_among_hosts_of_two_services() {
+        fixture it;
+        it.client_sends(client_start, 0, true, start);
+        it.host_accepts(first_machine, 500'000, start + milliseconds(80));
+        it.host_accepts(second_machine, 9'000'000, start + milliseconds(81));
+        it.packets.clear();
+        it.client_sends(client_start + 1, 9'000'001, false,
+                        start + milliseconds(90));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.packets.size());
+        CPPUNIT_ASSERT(it.packets[0].to == second_machine);
+        CPPUNIT_ASSERT(it.packets[0].mark.service == tag_of(second));
+        CPPUNIT_ASSERT(it.packets[0].mark.kind == handling::forward);
+    }
+
+    // The host's answer was lost; another host would open a second flow.
+    void a_copy_goes_to_the_host_that_accepted() {
+        fixture it;
+        it.client_sends(client_start, 0, true, start);
+        it.host_accepts(second_machine, 9'000'000, start + milliseconds(5));
+        it.packets.clear();
+        it.client_sends(client_start, 1, true, start + milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.packets.size());
+        CPPUNIT_ASSERT(it.packets[0].to == second_machine);
+        CPPUNIT_ASSERT(it.packets[0].mark.kind == handling::place);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.resets);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(entry_relay_test);
+
+} // namespace arbutusport::relay
--- /dev/null
+++ b/packages/testing/src/emulator/relay_world_faults.cpp
@@ -0,0 +1,168 @@
+// Faults of hosts and of the store in the relay's virtual world, and what can
+// be asked of it.
+
+#include "relay_world_state.hpp"
+
+namespace arbutusport::emulator {
+
+void relay_world::crash_host(std::size_t host) {
+    host_state& it = *hosts_[host];
+    it.running = false;
+    it.listening = false;
+    it.flows.clear();
+    ++it.boot;
+}
+
+void relay_world::boot_host(std::size_t host) {
+    host_state& it = *hosts_[host];
+    crash_host(host);
+    it.running = true;
+    it.listening = true;
+    it.registered = true;
+    it.draining = false;
+    it.booted_at = now_;
+    publish(host);
+}
+
+void relay_world::drain_host(std::size_t host) {
+    hosts_[host]->draining = true;
+    publish(host);
+}
+
+void relay_world::close_listener(std::size_t host) {
+    hosts_[host]->listening = false;
+}
+
+void relay_world::unregister_host(std::size_t host) {
+    hosts_[host]->registered = false;
+    publish(host);
+}
+
+void relay_world::silence_host(std::size_t host, bool silent) {
+    hosts_[host]->silent = silent;
+}
+
+void relay_world::reuse_address(std::size_t host) {
+    host_state& it = *hosts_[host];
+    crash_host(host);
+    it.running = true;
+    it.listening = true;
+    it.service = other_service;
+    kill_host_process(host);
+    start_host_process(host);
+}
+
+void relay_world::cut_store(std::size_t entry) {
+    entries_[entry]->store = false;
+    if (entries_[entry]->process)
+        entries_[entry]->process->on_store_error(time());
+}
+
+void relay_world::restore_store(std::size_t entry) {
+    entries_[entry]->store = true;
+    list(entry);
+}
+
+void relay_world::lapse_all() {
+    for (std::size_t i = 0; i < entries_.size(); ++i)
+        cut_store(i);
+    for (auto& it : hosts_)
+        it->registered = false;
+    ++revision_;
+}
+
+// Every host's new registration is a new key, as a new run's is.
+relay::host_record relay_world::record_of(std::size_t host) const {
+    const host_state& it = *hosts_[host];
+    return {.key = relay::host_key(host * 100 + it.boot),
+            .service = it.service,
+            .address = it.address,
+            .data_centre = data_centre,
+            .draining = it.draining,
+            .slots = 2,
+            .started = wall_clock(it.booted_at)};
+}
+
+// One change of a host's registration, seen by all who can read the store.
+void relay_world::publish(std::size_t host) {
+    host_state& it = *hosts_[host];
+    it.revision = ++revision_;
+    relay::directory_change change{relay::revision(it.revision),
+                                   record_of(host)};
+    if (!it.registered)
+        change.what = relay::host_removed{record_of(host).key};
+    send_change(change);
+}
+
+void relay_world::send_change(const relay::directory_change& change) {
+    for (std::size_t i = 0; i < entries_.size(); ++i)
+        at(options_.delay, [this, i, change] {
+            entry_state& it = *entries_[i];
+            if (!it.process || !it.store || !it.reads)
+                return;
+            ++store_answers_;
+            it.process->on_changes(change.at, {change}, time());
+        });
+}
+
+void relay_world::move_route() {
+    routed_ = other_service;
+    routing_revision_ = ++revision_;
+    send_change(routing());
+}
+
+relay::directory_change relay_world::routing() const {
+    relay::routing_document it{.version = routing_revision_};
+    it.routes.push_back({service_address, {{routed_, 1}}});
+    return {relay::revision(routing_revision_), it};
+}
+
+void relay_world::list(std::size_t entry) {
+    entry_state& it = *entries_[entry];
+    if (!it.process)
+        return;
+    if (!it.store) {
+        it.process->on_store_error(time());
+        // Readers try again.
+        at(milliseconds(500), [this, entry, run = it.run] {
+            if (entries_[entry]->process && entries_[entry]->run == run &&
+                entries_[entry]->reads && !entries_[entry]->store)
+                list(entry);
+        });
+        return;
+    }
+    ++store_answers_;
+    std::vector<relay::directory_change> items{routing()};
+    for (std::size_t i = 0; i < hosts_.size(); ++i)
+        if (hosts_[i]->registered)
+            items.push_back(
+                {relay::revision(hosts_[i]->revision), record_of(i)});
+    it.process->on_listing(relay::revision(revision_), std::move(items),
+                           time());
+}
+
+std::uint64_t relay_world::placed_at(std::size_t host) const {
+    return hosts_[host]->placed;
+}
+
+std::size_t relay_world::readers() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        entries_, [](const auto& it) { return it->process && it->reads; }));
+}
+
+std::size_t relay_world::reader() const {
+    const auto it = std::ranges::find_if(
+        entries_, [](const auto& one) { return one->process && one->reads; });
+    return static_cast<std::size_t>(it - entries_.begin());
+}
+
+bool relay_world::entry_ready(std::size_t entry) const {
+    const auto& it = entries_[entry]->process;
+    return it && it->ready(time_point(now_));
+}
+
+const relay::directory& relay_world::directory_of(std::size_t entry) const {
+    return entries_[entry]->process->known();
+}
+
+} // namespace arbutusport::emulator
--- /dev/null
+++ b/packages/testing/src/emulator/relay_world_state.hpp
@@ -0,0 +1,104 @@
+// Packets and parts of the relay's virtual world. Packets carry their fields as
+// they lie in memory; nothing leaves the process.
+#pragma once
+
+#include <arbutusport/emulator/relay_world.hpp>
+
+#include <algorithm>
+#include <cstring>
+
+namespace arbutusport::emulator {
+
+using relay::machine_address;
+using std::chrono::milliseconds;
+
+inline constexpr std::uint32_t first_entry = 0x0a000001;
+inline constexpr std::uint32_t first_host = 0x0b000001;
+inline constexpr std::uint32_t first_client = 0x64400001;
+inline const endpoint service_address{0xc6120001, 443};
+inline const service_id main_service = service_id_of("participa");
+inline const service_id other_service = service_id_of("acervo");
+inline const relay::data_centre_id data_centre(7);
+inline constexpr duration tick_interval = milliseconds(25);
+// As clients send again: first after 200 ms, then twice as late.
+inline constexpr duration first_retransmission = milliseconds(200);
+inline constexpr duration last_retransmission = milliseconds(1600);
+inline constexpr std::uint16_t request_bytes = 200;
+inline constexpr std::size_t head_bytes = 34;
+
+using packet_fields = relay_world::packet_fields;
+
+inline bytes pack(const packet_fields& it) {
+    bytes out(std::max(sizeof it, head_bytes) + it.payload);
+    std::memcpy(out.data(), &it, sizeof it);
+    return out;
+}
+
+inline packet_fields unpack(byte_view data) {
+    packet_fields it;
+    std::memcpy(&it, data.data(), sizeof it);
+    return it;
+}
+
+// All machines have the same clock; its zero is far from 0, which means
+// unknown.
+inline unix_milliseconds wall_clock(duration now) {
+    constexpr std::uint64_t epoch = 1'700'000'000'000;
+    return unix_milliseconds(epoch +
+                             static_cast<std::uint64_t>(now.count() / 1000));
+}
+
+inline relay::segment decode(byte_view data) {
+    const auto it = unpack(data);
+    relay::segment out;
+    out.flow = it.flow;
+    out.syn = it.syn;
+    out.ack = it.ack;
+    out.returned = it.returned;
+    out.sequence = it.sequence;
+    out.acknowledged = it.acknowledged;
+    out.payload_bytes = it.payload;
+    out.datagram = data;
+    return out;
+}
+
+struct relay_world::flow_state {
+    flow_key key;
+    std::uint32_t client_start = 0;
+    std::uint32_t host_start = 0;
+    bool open = false;
+    bool reset = false;
+    std::uint64_t requests = 0;
+    std::uint64_t answers = 0;
+    // Through which the flow was opened.
+    std::size_t entry = 0;
+};
+
+struct relay_world::host_state {
+    std::unique_ptr<relay::host_relay> process;
+    std::uint64_t process_run = 0;
+    service_id service = main_service;
+    std::uint64_t boot = 1;
+    bool running = true;
+    bool listening = true;
+    bool registered = true;
+    bool draining = false;
+    bool silent = false;
+    duration booted_at{};
+    std::uint64_t revision = 1;
+    std::uint64_t placed = 0;
+    // First sequence number by flow.
+    std::map<flow_key, std::uint32_t> flows;
+    endpoint address;
+};
+
+struct relay_world::entry_state {
+    std::unique_ptr<relay::entry_relay> process;
+    std::uint64_t run = 0;
+    bool store = true;
+    bool reads = true;
+    bool isolated = false;
+    machine_address machine;
+};
+
+} // namespace arbutusport::emulator
