--- a/packages/testing/src/emulator/config_fleet_test.cpp
+++ b/packages/testing/src/emulator/config_fleet_test.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(a_restart_beside_a_stale_platform_does_not_go_back);
     CPPUNIT_TEST(a_restart_among_uneven_peers_takes_the_newest);
     CPPUNIT_TEST(a_restart_beside_a_dead_data_centre_serves_soon);
+    CPPUNIT_TEST(a_start_of_all_stays_within_the_platforms_rate);
     CPPUNIT_TEST(a_malformed_generation_is_read_once);
     CPPUNIT_TEST(a_lone_process_reads_directly);
     CPPUNIT_TEST(random_faults_never_revert_and_converge);
@@ -147,6 +148,20 @@
         CPPUNIT_ASSERT(it.in_force(0) == it.head());
     }
 
+    // The platform allows 2,000 calls a second to all processes together. A
+    // fleet that starts at once must get the set from a few readers.
+    void a_start_of_all_stays_within_the_platforms_rate() {
+        constexpr std::uint64_t allowed_per_second = 2000;
+        config_fleet it({.sizes = {10, 240, 16, 3}});
+        std::uint64_t before = 0;
+        for (int second = 0; second < 15; ++second) {
+            it.advance(1s);
+            const auto calls = it.counters().platform_calls;
+            CPPUNIT_ASSERT(calls - before <= allowed_per_second);
+            before = calls;
+        }
+    }
+
     void a_malformed_generation_is_read_once() {
         config_fleet it({});
         it.advance(10s);
