--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -74,7 +74,7 @@
     void on_host_alive(time_point now);
     /// @brief Nothing listens at the host's address. If it was not draining,
     /// it has crashed and its flows are gone; a draining host may have closed
-    /// its door while it still serves.
+    /// its listener while it still serves.
     void on_host_refuses(time_point now);
 
     host_state state() const { return state_; }
