--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -133,7 +133,9 @@
                 time_point now);
     std::vector<owner_search::target>
     search_targets(const flow_key& flow) const;
-    void conclude_nowhere(const flow_key& flow, std::uint32_t acknowledged);
+    void conclude_nowhere(const flow_key& flow, std::uint32_t acknowledged,
+                          time_point now);
+    bool directory_is_current(time_point now) const;
     void hedge(time_point now);
     void choose_reader(time_point now);
     peer_entries::standing standing() const;
@@ -163,6 +165,8 @@
     time_point read_again_at_;
     // This process reads the store for its data centre.
     bool reading_ = true;
+    // When it took over from another entry.
+    std::optional<time_point> reading_since_;
     bool store_was_lost_ = false;
 };
 
--- a/packages/core/include/arbutusport/relay/owner_search.hpp
+++ b/packages/core/include/arbutusport/relay/owner_search.hpp
@@ -60,7 +60,8 @@
         std::function<void(const target&, byte_view datagram)> send;
         std::function<void(machine_address, std::vector<flow_key>)> query;
         /// No host has the flow. `acknowledged` is the client's last.
-        std::function<void(const flow_key&, std::uint32_t acknowledged)>
+        std::function<void(const flow_key&, std::uint32_t acknowledged,
+                           time_point now)>
             nowhere;
     };
 
--- a/packages/core/include/arbutusport/relay/peer_entries.hpp
+++ b/packages/core/include/arbutusport/relay/peer_entries.hpp
@@ -60,6 +60,9 @@
     /// centre: no other entry there reads it with success, or none with a
     /// higher rank while the own reading succeeds too.
     bool should_read(bool store_lost, time_point now) const;
+    /// @brief A reader of the data centre said within a hello's time that it
+    /// has the same directory.
+    bool reader_agrees(const directory& known, time_point now) const;
     /// @brief Sends a changed directory to the entries of the data centre.
     void push(const directory& known, time_point now);
     /// @brief A complete view, once its last part has arrived.
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -266,6 +266,8 @@
     if (reads == reading_)
         return;
     reading_ = reads;
+    if (reads)
+        reading_since_ = now;
     entries_.hurry();
     report({.severity = event::level::info,
             .name = reads ? "reads_store" : "follows_reader"});
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -7,6 +7,13 @@
 
 namespace arbutusport::relay {
 
+namespace {
+
+// A reader that has just taken over gets what it missed within this time.
+constexpr duration catch_up_time = std::chrono::milliseconds(300);
+
+} // namespace
+
 entry_relay::entry_relay(entry_relay_options options, entry_relay_hooks hooks)
     : options_(std::move(options)), hooks_(std::move(hooks)),
       directory_(options_.directory), peers_(options_.peers),
@@ -30,8 +37,9 @@
                    hooks_.send(to, flow_query{std::move(flows)});
                },
            .nowhere =
-               [this](const flow_key& it, std::uint32_t acknowledged) {
-                   conclude_nowhere(it, acknowledged);
+               [this](const flow_key& it, std::uint32_t acknowledged,
+                      time_point now) {
+                   conclude_nowhere(it, acknowledged, now);
                }}),
       hints_(options_.max_hints) {}
 
@@ -224,10 +232,20 @@
                                   hash_of(flow));
 }
 
+// A host that has just registered may be missing here while another entry
+// places flows at it, unless the store was read up to now.
+bool entry_relay::directory_is_current(time_point now) const {
+    if (!reading_)
+        return entries_.reader_agrees(directory_, now);
+    return !directory_.store_is_lost() &&
+           (!reading_since_ || now - *reading_since_ > catch_up_time);
+}
+
 void entry_relay::conclude_nowhere(const flow_key& flow,
-                                   std::uint32_t acknowledged) {
-    // Hosts that this process has not heard of may own the flow.
-    if (directory_.store_is_lost()) {
+                                   std::uint32_t acknowledged, time_point now) {
+    // Hosts that this process has not heard of may own the flow; the client's
+    // next packet starts another search.
+    if (!directory_is_current(now)) {
         report({.name = "dropped", .reason = "owner_unknown", .flow = flow});
         return;
     }
--- a/packages/core/src/relay/entry_relay_test.cpp
+++ b/packages/core/src/relay/entry_relay_test.cpp
@@ -86,6 +86,7 @@
     CPPUNIT_TEST_SUITE(entry_relay_test);
     CPPUNIT_TEST(the_client_chooses_among_hosts_of_two_services);
     CPPUNIT_TEST(a_copy_goes_to_the_host_that_accepted);
+    CPPUNIT_TEST(no_flow_is_lost_by_an_outdated_directory);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -117,6 +118,38 @@
         CPPUNIT_ASSERT(it.packets[0].mark.kind == handling::place);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.resets);
     }
+
+    // Guards against a reset in replace_everything, seed 433664572076
+    // (vhk-moodboard): the entry that reads for the data centre was gone, and
+    // a host that had just registered was not asked for its flow.
+    void no_flow_is_lost_by_an_outdated_directory() {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resets_after(seconds(1)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resets_after(milliseconds(100)));
+    }
+
+private:
+    // Both hosts deny a flow; the reader was last heard `silence` ago.
+    static std::size_t resets_after(duration silence) {
+        fixture it;
+        time_point now = start + milliseconds(10);
+        for (std::uint32_t i = 1; i <= 8; ++i)
+            it.entry.on_message(machine_address(0x0a020000 + i),
+                                peer_hello{.as_of = it.entry.known().as_of(),
+                                           .digest = it.entry.known().digest(),
+                                           .reads_store = true,
+                                           .is_reply = true},
+                                now);
+        it.entry.on_tick(now);
+        now += silence;
+        it.entry.on_tick(now);
+        it.client_sends(client_start, 77, false, now);
+        it.entry.flush(now);
+        for (const auto machine : {first_machine, second_machine})
+            it.entry.on_message(machine, flow_denial{.not_here = {flow}}, now);
+        for (int ms = 10; ms < 100; ms += 10)
+            it.entry.on_tick(now + milliseconds(ms));
+        return it.resets;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(entry_relay_test);
--- a/packages/core/src/relay/owner_search.cpp
+++ b/packages/core/src/relay/owner_search.cpp
@@ -144,7 +144,7 @@
         if (undecided(flow, it).empty()) {
             const auto acknowledged = it.acknowledged;
             searches_.erase(flow);
-            hooks_.nowhere(flow, acknowledged);
+            hooks_.nowhere(flow, acknowledged, now);
         } else if (now - it.used_at > options_.memory) {
             searches_.erase(flow);
         } else if (it.rounds < options_.max_rounds) {
--- a/packages/core/src/relay/peer_entries.cpp
+++ b/packages/core/src/relay/peer_entries.cpp
@@ -16,6 +16,8 @@
 // A peer that was heard of before this is not asked for its directory.
 constexpr duration source_silence = std::chrono::seconds(2);
 
+// A busy process sends a hello this much late.
+constexpr duration hello_travel = std::chrono::milliseconds(150);
 // Makes the choice of readers independent of other choices by rank.
 constexpr std::uint64_t reader_seed = 0x72656164;
 
@@ -147,6 +149,16 @@
     });
 }
 
+bool peer_entries::reader_agrees(const directory& known, time_point now) const {
+    // A hello and its way.
+    const duration recent = options_.hello_interval + hello_travel;
+    return std::ranges::any_of(peers_, [&](const auto& it) {
+        const peer& one = it.second;
+        return one.reads_store && one.data_centre == options_.data_centre &&
+               now - one.heard_at <= recent && one.digest == known.digest();
+    });
+}
+
 void peer_entries::send_view(machine_address to, const directory& known,
                              bool with_routes) const {
     const bytes whole = encode_view(known.view(), with_routes);
