Let seeds read the records first when a whole fleet starts

Cause: since sync messages are authenticated a process without keys learns from seeds only, but seeds delayed their first reading like all others. When everything started at once, most processes had read the records themselves before a seed had them: 75,591 calls for 1,024 members, at most 2,000 a second allowed.

A process that is among the seeds of the settings now reads the list of records half a second after its start and the records at once, unless another seed had them. It no longer asks itself. The others keep their window and their delay, and find the set at a seed when the window ends.

--- a/packages/arbutusd/include/arbutusport/daemon/process_core.hpp
+++ b/packages/arbutusd/include/arbutusport/daemon/process_core.hpp
@@ -46,6 +46,8 @@
     ~process_core();
 
     const settings::process_settings& settings() const { return settings_; }
+    /// @brief The seeds of the settings without this process.
+    std::vector<endpoint> other_seeds() const;
     process_id self() const { return self_; }
     incarnation run() const { return run_; }
     packet_port& port() { return port_; }
--- a/packages/arbutusd/src/daemon/entry_role.cpp
+++ b/packages/arbutusd/src/daemon/entry_role.cpp
@@ -33,7 +33,8 @@
     out.self = core.self();
     out.run = core.run();
     out.data_centre = from.data_centre;
-    out.seeds = from.seeds;
+    out.seeds = core.other_seeds();
+    out.is_seed = out.seeds.size() < from.seeds.size();
     out.seed = core.run().value();
     out.router.packets = from.listen_packets;
     if (from.max_hints)
--- a/packages/arbutusd/src/daemon/host_role.cpp
+++ b/packages/arbutusd/src/daemon/host_role.cpp
@@ -35,7 +35,8 @@
     out.run = core.run();
     out.service = service_id_of(from.service);
     out.data_centre = from.data_centre;
-    out.seeds = from.seeds;
+    out.seeds = core.other_seeds();
+    out.is_seed = out.seeds.size() < from.seeds.size();
     out.seed = core.run().value();
     out.drain_timeout = from.drain_timeout;
     if (from.max_flows)
--- a/packages/arbutusd/src/daemon/process_core.cpp
+++ b/packages/arbutusd/src/daemon/process_core.cpp
@@ -25,6 +25,12 @@
       port_(std::move(packets)), sender_(port_),
       drop_log_(drop_lines_per_second), next_second_(started_) {}
 
+std::vector<endpoint> process_core::other_seeds() const {
+    std::vector<endpoint> out = settings_.seeds;
+    std::erase(out, settings_.listen_control);
+    return out;
+}
+
 process_core::~process_core() {
     stop();
 }
--- a/packages/core/include/arbutusport/config/config_sync.hpp
+++ b/packages/core/include/arbutusport/config/config_sync.hpp
@@ -23,8 +23,11 @@
 struct sync_options {
     process_id self;
     std::string data_centre;
-    /// Control endpoints to ask before any configuration is known.
+    /// Control endpoints of other processes, to ask before any configuration is
+    /// known.
     std::vector<endpoint> seeds;
+    /// Others have this process among their seeds.
+    bool is_seed = false;
     duration round_interval = std::chrono::seconds(1);
     duration startup_window = std::chrono::seconds(3);
     std::size_t readers_per_data_centre = 3;
--- a/packages/core/include/arbutusport/node/control_plane.hpp
+++ b/packages/core/include/arbutusport/node/control_plane.hpp
@@ -17,6 +17,8 @@
     incarnation run;
     std::string data_centre;
     std::vector<endpoint> seeds;
+    /// Others have this process among their seeds.
+    bool is_seed = false;
     std::uint64_t seed = 0;
     /// Called after a newer configuration was adopted.
     std::function<outputs(const records::snapshot_ptr&, time_point)> on_config;
--- a/packages/core/include/arbutusport/node/entry_node.hpp
+++ b/packages/core/include/arbutusport/node/entry_node.hpp
@@ -12,6 +12,8 @@
     incarnation run;
     std::string data_centre;
     std::vector<endpoint> seeds;
+    /// Others have this process among their seeds.
+    bool is_seed = false;
     std::uint64_t seed = 0;
     routing::entry_options router;
 };
--- a/packages/core/include/arbutusport/node/host_node.hpp
+++ b/packages/core/include/arbutusport/node/host_node.hpp
@@ -17,6 +17,8 @@
     service_id service;
     std::string data_centre;
     std::vector<endpoint> seeds;
+    /// Others have this process among their seeds.
+    bool is_seed = false;
     std::uint64_t seed = 0;
     flows::flow_options flows;
     requests::broker_options requests;
--- a/packages/core/src/config/config_sync.cpp
+++ b/packages/core/src/config/config_sync.cpp
@@ -35,9 +35,13 @@
                         jitter(options_.direct_read_after / 2);
     backoff_ = options_.round_interval;
     // Spread, so that a fleet that starts at once stays within the call rate
-    // of the platform.
-    next_read_ =
-        options_.seeds.empty() ? now : now + jitter(options_.startup_window);
+    // of the platform. A seed reads as soon as the other seeds have had time to
+    // answer, because fresh processes get their set from seeds alone.
+    next_read_ = now;
+    if (options_.is_seed)
+        next_read_ += options_.round_interval / 2;
+    else if (!options_.seeds.empty())
+        next_read_ += jitter(options_.startup_window);
     next_round_ = now;
 }
 
--- a/packages/core/src/config/platform.cpp
+++ b/packages/core/src/config/platform.cpp
@@ -15,8 +15,8 @@
 // Readers find a platform that returns within this time and its jitter.
 constexpr duration max_backoff = std::chrono::seconds(5);
 // A first read of a whole set costs one call a record. The delay before it
-// grows with the set, so that in a fleet that starts at once a few processes
-// read and the others get the set from them.
+// grows with the set, so that in a fleet that starts at once the seeds read
+// and the others get the set from them.
 constexpr duration fetch_delay_per_record = std::chrono::milliseconds(25);
 constexpr duration max_fetch_delay = std::chrono::seconds(10);
 
@@ -99,7 +99,8 @@
     const double u = std::generate_canonical<double, 53>(random_);
     const duration delay(static_cast<duration::rep>(
         static_cast<double>(limit.count()) * std::pow(u, 0.25)));
-    const bool at_once = options_.seeds.empty() || candidate_;
+    const bool at_once =
+        options_.seeds.empty() || options_.is_seed || candidate_;
     first_fetch_ = at_once ? now : std::max(now, window_end_) + delay;
 }
 
--- a/packages/core/src/node/control_plane.cpp
+++ b/packages/core/src/node/control_plane.cpp
@@ -49,6 +49,7 @@
       sync_({.self = options_.self,
              .data_centre = options_.data_centre,
              .seeds = options_.seeds,
+             .is_seed = options_.is_seed,
              .seed = hash_combine(options_.seed, 2),
              .is_down = [this](process_id id) { return members_.is_down(id); },
              .take_events = [this] { return members_.take_events(); },
--- a/packages/core/src/node/entry_node.cpp
+++ b/packages/core/src/node/entry_node.cpp
@@ -24,6 +24,7 @@
                 .run = options.run,
                 .data_centre = options.data_centre,
                 .seeds = options.seeds,
+                .is_seed = options.is_seed,
                 .seed = options.seed,
                 .on_config =
                     [this](const records::snapshot_ptr& it, time_point) {
--- a/packages/core/src/node/host_node.cpp
+++ b/packages/core/src/node/host_node.cpp
@@ -38,6 +38,7 @@
            .run = options_.run,
            .data_centre = options_.data_centre,
            .seeds = options_.seeds,
+           .is_seed = options_.is_seed,
            .seed = options_.seed,
            .on_config = [this](const records::snapshot_ptr& it,
                                time_point now) { return on_config(it, now); },
--- a/packages/testing/src/emulator/config_fleet.cpp
+++ b/packages/testing/src/emulator/config_fleet.cpp
@@ -45,6 +45,7 @@
     process& it = processes_[i];
     config::sync_options options{.self = it.id,
                                  .data_centre = it.data_centre,
+                                 .is_seed = i < seed_peers,
                                  .push_peers = options_.push_peers,
                                  .seed = random_()};
     for (std::size_t n = 0; n < std::min(seed_peers, size()); ++n)
