Write log lines from a thread of their own

Cause: lines were written by the thread that forwards packets, so that a reader of the log that had stopped stopped the process once the pipe was full.

--- a/packages/arbutusd/src/daemon/run_daemon.cpp
+++ b/packages/arbutusd/src/daemon/run_daemon.cpp
@@ -39,6 +39,7 @@
         if (stopping) {
             log_event(severity::warning, "stopped_at_once")
                 .field("exit_code", exit_failed);
+            adapters::flush_log();
             // Without destructors: threads may wait for time-outs.
             ::_exit(exit_failed);
         }
@@ -52,8 +53,9 @@
 
 result<int> run_process(const settings::process_settings& settings) {
     const sigset_t signals = block_signals();
-    adapters::start_log(static_cast<adapters::severity>(settings.level),
-                        settings.name);
+    adapters::start_log(
+        {.least = static_cast<adapters::severity>(settings.level),
+         .process = settings.name});
     if (sodium_init() < 0)
         return fail("start", "libsodium", "no source of random numbers");
     const bool is_host = settings.role == settings::process_role::host;
--- a/packages/runtime/include/arbutusport/adapters/log.hpp
+++ b/packages/runtime/include/arbutusport/adapters/log.hpp
@@ -1,4 +1,4 @@
-// Logs by glog: one key=value line an event, to standard error.
+// Logs by glog: one key=value line an event, written by a line_writer.
 #pragma once
 
 #include <arbutusport/base/time.hpp>
@@ -13,9 +13,21 @@
 
 enum class severity : std::uint8_t { debug, info, warning, error };
 
-/// @brief Call once, before any thread starts. Lines below `least` are
-/// dropped; `process` is added to each line.
-void start_log(severity least, const std::string& process);
+struct log_options {
+    /// Lines below it are dropped.
+    severity least = severity::info;
+    /// Added to each line.
+    std::string process;
+    /// Standard error.
+    int descriptor = 2;
+};
+
+/// @brief Call once, before any thread starts.
+void start_log(const log_options& options);
+
+/// @brief Waits until what was logged is written, at most 200 ms: the reader
+/// may have stopped. For ends without destructors.
+void flush_log();
 
 /// @brief One event; written when the object ends.
 ///
--- a/packages/runtime/src/adapters/log.cpp
+++ b/packages/runtime/src/adapters/log.cpp
@@ -1,6 +1,8 @@
 // Log lines through glog. glog's own prefix is off, because it isn't
-// key=value; time and level are fields.
+// key=value; time and level are fields. A sink takes the lines, because glog
+// itself writes while it holds a lock that every line needs.
 
+#include <arbutusport/adapters/line_writer.hpp>
 #include <arbutusport/adapters/log.hpp>
 
 #include <glog/logging.h>
@@ -10,14 +12,34 @@
 #include <Poco/Timestamp.h>
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace arbutusport::adapters {
 
 namespace {
 
-severity least_severity = severity::info;
-std::string process_name;
+constexpr duration flush_time = std::chrono::milliseconds(200);
+
+class writer_sink : public google::LogSink {
+public:
+    explicit writer_sink(line_writer_options options)
+        : writer_(std::move(options)) {}
+
+    // A line that does not fit in is counted by the writer.
+    void send(google::LogSeverity, const char*, const char*, int, const ::tm*,
+              const char* message, std::size_t size) override {
+        writer_.write(std::string(message, size));
+    }
+    void flush() { writer_.flush(flush_time); }
+
+private:
+    line_writer writer_;
+};
+
+log_options chosen;
+// Null until start_log(); lines go to glog's own output then.
+std::unique_ptr<writer_sink> sink;
 
 const char* name_of(severity it) {
     switch (it) {
@@ -35,13 +57,21 @@
 
 } // namespace
 
-void start_log(severity least, const std::string& process) {
+void start_log(const log_options& options) {
     static const std::string program = "arbutusport";
     google::InitGoogleLogging(program.c_str());
     FLAGS_logtostderr = true;
     FLAGS_log_prefix = false;
-    least_severity = least;
-    process_name = process;
+    chosen = options;
+    sink = std::make_unique<writer_sink>(line_writer_options{
+        .descriptor = options.descriptor,
+        .prefix =
+            "level=warning process=" + quote_value(options.process) + ' '});
+}
+
+void flush_log() {
+    if (sink)
+        sink->flush();
 }
 
 std::string quote_value(std::string_view value) {
@@ -66,15 +96,17 @@
           << Poco::DateTimeFormatter::format(
                  Poco::Timestamp(), Poco::DateTimeFormat::ISO8601_FRAC_FORMAT)
           << " level=" << name_of(level);
-    if (!process_name.empty())
-        line_ << " process=" << process_name;
+    if (!chosen.process.empty())
+        line_ << " process=" << chosen.process;
     line_ << " event=" << event;
 }
 
 log_event::~log_event() {
-    if (level_ < least_severity)
+    if (level_ < chosen.least)
         return;
-    if (level_ == severity::error)
+    if (sink)
+        LOG_TO_SINK_BUT_NOT_TO_LOGFILE(sink.get(), INFO) << line_.str();
+    else if (level_ == severity::error)
         LOG(ERROR) << line_.str();
     else if (level_ == severity::warning)
         LOG(WARNING) << line_.str();
