Do not renew young bindings with each answer

Cause: a host that was paused answers requests from before the pause when it wakes, and each answer carried a fresh binding of its own.

--- a/packages/core/src/requests/broker_client.cpp
+++ b/packages/core/src/requests/broker_client.cpp
@@ -263,6 +263,8 @@
     it.copy = copy;
     it.request = std::move(request);
     it.bound = judged.value == standing::valid;
+    if (it.bound)
+        it.bound_at = judged.named.issued();
     ++of.jobs;
     admit(add_job(std::move(it), now).id, now);
 }
--- a/packages/core/src/requests/broker_impl.hpp
+++ b/packages/core/src/requests/broker_impl.hpp
@@ -53,8 +53,9 @@
     std::uint64_t origin_exchange = 0;
     /// Without Echo.
     coap_message request;
-    /// The request came with a valid binding.
+    /// The request came with a valid binding, issued at that time.
     bool bound = false;
+    time_point bound_at;
     time_point deadline;
     /// Token at the upstream, or exchange with another host.
     std::uint64_t exchange = 0;
--- a/packages/core/src/requests/broker_jobs.cpp
+++ b/packages/core/src/requests/broker_jobs.cpp
@@ -95,8 +95,12 @@
     if (session* of = sessions_.find(it.session);
         of && !of->ended && !it.of_peer())
         // A read that came without a binding is answered with one, so that
-        // the session can be found again under a new flow key.
-        if (!it.idempotent() || !it.bound)
+        // the session can be found again under a new flow key. A young binding
+        // is not renewed: the answer may be an old one of a host that was
+        // paused, whose client has gone on at another host meanwhile and
+        // would come back with it.
+        if (!it.bound || (!it.idempotent() &&
+                          now >= it.bound_at + options_.binding_lifetime / 2))
             add_binding(*of, response, now);
     respond_to(it, response);
     if (it.key) {
