--- a/packages/arbutusctl/src/arbutusctl_main.cpp
+++ b/packages/arbutusctl/src/arbutusctl_main.cpp
@@ -1,6 +1,7 @@
 // The operators' command-line client. It only reads.
 
 #include <arbutusport/ctl/commands.hpp>
+#include <arbutusport/ctl/log_story.hpp>
 
 #include <boost/program_options.hpp>
 
@@ -22,6 +23,7 @@
   arbutusctl check   --records DIR --settings FILE...
   arbutusctl diff    --from DIR --to DIR
   arbutusctl explain --records DIR --service NAME --client IP:PORT
+  arbutusctl explain --log FILE... --flow CLIENT>SERVICE   (what happened to it)
   arbutusctl status  --process IP:PORT...   (control endpoints)
   arbutusctl report  --process IP:PORT...   (metrics endpoints of hosts)
 
@@ -32,6 +34,7 @@
   arbutusctl diff --from published --to planned
   arbutusctl explain --records published --service participa \
       --client 127.0.0.9:5000
+  arbutusctl explain --log edge-*.log side-*.log --flow "198.18.0.1:8443"
   arbutusctl status --process 127.0.1.1:7002 127.0.1.2:7002 --output json
   arbutusctl report --process 127.0.2.1:7003 --plot burn.gp && gnuplot burn.gp
 
@@ -128,15 +131,29 @@
 
 int run_explain(const arguments& args) {
     ctl::explain_options options;
+    ctl::story_options story;
     std::string client;
     command_line line("explain");
-    line.add()("records", po::value(&options.records)->required(),
-               "directory of records")("service",
-                                       po::value(&options.service)->required(),
+    line.add()("records", po::value(&options.records),
+               "directory of records")("service", po::value(&options.service),
                                        "the service's name or address")(
-        "client", po::value(&client)->required(), "the client's IP:PORT");
+        "client", po::value(&client),
+        "the client's IP:PORT")("log", po::value(&story.logs)->multitoken(),
+                                "logs of processes; - is standard input")(
+        "flow", po::value(&story.flow),
+        "CLIENT>SERVICE as logs have it, or a part of it")(
+        "context-ms", po::value(&story.context_ms)->default_value(2000),
+        "what else the processes did, so long before and after");
     if (!line.parse(args))
         return ctl::exit_success;
+    if (!story.logs.empty()) {
+        if (story.flow.empty())
+            throw usage_error("explain --log needs --flow");
+        return ctl::tell_story(story, std::cout);
+    }
+    if (options.records.empty() || options.service.empty() || client.empty())
+        throw usage_error("explain needs --records, --service and --client, "
+                          "or --log and --flow");
     options.client = to_endpoint(client, "client");
     return ctl::explain(options, line.format(), std::cout);
 }
