Forget waiting searches that ticks have taken over

Cause, found by reading: while the store is away no search may end, and each left a note of its time behind until the store returned, some 60 bytes each. Notes older than a search's memory go with the next tick, which concludes such searches itself. owner_search_test::an_outage_of_an_hour_leaves_nothing_behind failed before.

--- a/packages/core/include/arbutusport/relay/owner_search.hpp
+++ b/packages/core/include/arbutusport/relay/owner_search.hpp
@@ -103,6 +103,8 @@
     void flush(time_point now);
     bool active(const flow_key& flow) const { return searches_.contains(flow); }
     std::size_t size() const { return searches_.size(); }
+    /// @brief Notes of searches that wait for their conclusion.
+    std::size_t concluding() const { return concluding_.size(); }
 
 private:
     struct search {
--- a/packages/core/src/relay/owner_search.cpp
+++ b/packages/core/src/relay/owner_search.cpp
@@ -196,6 +196,9 @@
             it.due = it.used_at + options_.memory;
     }
     flush(now);
+    // Ticks conclude what has waited for longer.
+    concluding_.erase(concluding_.begin(),
+                      concluding_.lower_bound(now - options_.memory));
 }
 
 void owner_search::flush(time_point now) {
--- a/packages/core/src/relay/owner_search_test.cpp
+++ b/packages/core/src/relay/owner_search_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(silent_ones_alone_are_asked_again);
     CPPUNIT_TEST(a_host_learned_late_is_asked_before_the_conclusion);
     CPPUNIT_TEST(a_conclusion_waits_until_all_hosts_are_known);
+    CPPUNIT_TEST(an_outage_of_an_hour_leaves_nothing_behind);
     CPPUNIT_TEST(many_flows_share_a_query);
     CPPUNIT_TEST(an_unsure_process_gets_the_packet);
     CPPUNIT_TEST(found_owner_gets_what_it_has_not_got);
@@ -168,6 +169,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.search.size());
     }
 
+    // While the store is away no search ends; what is noted of them must not
+    // grow with the outage.
+    void an_outage_of_an_hour_leaves_nothing_behind() {
+        fixture it(1, 1);
+        it.is_complete = false;
+        for (int s = 0; s < 3600; ++s) {
+            const auto n = static_cast<std::uint16_t>(s);
+            it.add(n, start + seconds(s));
+            it.deny(1, n, start + seconds(s));
+            it.search.on_tick(start + seconds(s));
+        }
+        CPPUNIT_ASSERT(it.search.size() <= 6);
+        CPPUNIT_ASSERT(it.search.concluding() <= 6);
+    }
+
     void many_flows_share_a_query() {
         fixture it(2, 0);
         for (std::uint16_t n = 1; n <= 50; ++n)
