Elect the reader of the store by timeouts derived from its announcements

Change: reader_election. A reader announces itself to four successors in each interval, all entries pass on the newest announcement by its number, and the timeouts are computed from the interval and the number of entries. An entry queries the reader before it replaces it, successors follow one another in a fixed order, and a restarted entry no longer takes over from a reader that works. Before a flow counts as lost the reader is queried, since its hellos are no longer frequent. Hellos between entries go to a constant number of peers; an entry that ended is no longer named to others for good. Hellos of an earlier run that arrive late are ignored. Entries of the previous build receive hellos in the form that they know.

--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -185,13 +185,9 @@
     bool reading_ = true;
     // When this process took over reading from another entry.
     std::optional<time_point> reading_since_;
-    bool store_was_lost_ = false;
     // The store rejected this process and has not answered since. Other
     // entries keep reading until it does.
     bool awaits_store_answer_ = false;
-    // Until this time another entry reads the store if it does so
-    // successfully.
-    time_point reader_backoff_until_;
 };
 
 } // namespace arbutusport::relay
--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -9,6 +9,7 @@
 #include <arbutusport/relay/segment.hpp>
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -112,6 +113,8 @@
     struct entry {
         data_centre_id data_centre;
         time_point heard_at;
+        // The last entry that a report to this one listed.
+        machine_address last_listed;
     };
 
     void on_opening(machine_address from, const segment& packet,
@@ -137,6 +140,8 @@
     void set_busy(flow_state& it, bool busy, time_point now);
     bool knows_all_flows(time_point now) const;
     load_report make_report(time_point now);
+    std::vector<machine_address> next_listed_entries(entry& recipient,
+                                                     time_point now);
     owned_flows make_owned_flows() const;
     void send_flows(machine_address to, data_centre_id data_centre,
                     time_point now);
@@ -146,7 +151,7 @@
     host_relay_hooks hooks_;
     std::unordered_map<flow_key, flow_state> flows_;
     std::unordered_map<flow_key, pending_delivery> pending_deliveries_;
-    std::unordered_map<machine_address, entry> entries_;
+    std::map<machine_address, entry> entries_;
     load_meter load_;
     host_state state_ = host_state::alive;
     // The last registration that entries reported, and when it arrived.
--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -8,6 +8,7 @@
 #include <arbutusport/relay/segment.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -116,6 +117,19 @@
     service_tag service;
 };
 
+/// @brief States that an entry reads the store for its data centre. The count
+/// grows with each announcement of a run, so entries that pass it on cannot
+/// make it look newer.
+struct reader_announcement {
+    machine_address reader;
+    incarnation run;
+    std::uint64_t count = 0;
+
+    bool is_newer_than(const reader_announcement& other) const {
+        return run != other.run ? run > other.run : count > other.count;
+    }
+};
+
 /// @brief Sent between entries at a regular interval.
 struct peer_hello {
     incarnation run;
@@ -127,6 +141,10 @@
     bool is_reply = false;
     std::vector<machine_address> entries;
     std::vector<departed_host> departed;
+    /// The sender's own announcement, or the newest one that it knows of its
+    /// data centre. Processes that predate this field send and accept only
+    /// hellos without it; they drop others as an unknown type.
+    std::optional<reader_announcement> reader;
 };
 
 /// @brief Requests the directory of another entry.
@@ -145,6 +163,9 @@
                              flow_denial, packet_returned, peer_hello,
                              directory_request, directory_part>;
 
+/// @brief Name of the message's type, for metrics.
+const char* type_name(const message& it);
+
 bytes encode(const message& it);
 
 /// @brief Fails with step "decode_relay_message".
--- a/packages/core/include/arbutusport/relay/peer_entries.hpp
+++ b/packages/core/include/arbutusport/relay/peer_entries.hpp
@@ -1,11 +1,14 @@
 // Table of the other entries and the revisions of their directories. An entry
 // that cannot read the store, or reads it slowly, fetches the directory from a
-// peer.
+// peer. The messages that an entry sends at rest do not grow with the fleet: an
+// interval's hellos go to the successors of a reader and to a few other peers
+// in turn.
 #pragma once
 
 #include <arbutusport/relay/directory.hpp>
 #include <arbutusport/relay/events.hpp>
 #include <arbutusport/relay/messages.hpp>
+#include <arbutusport/relay/reader_election.hpp>
 
 #include <functional>
 #include <map>
@@ -24,22 +27,31 @@
     /// answered: at this interval, for this period.
     duration initial_hello_interval = std::chrono::milliseconds(100);
     duration initial_hello_period = std::chrono::milliseconds(400);
-    /// Peers that receive a hello in one interval; keeps the traffic per
-    /// process constant in a large fleet.
-    std::size_t max_hellos = 8;
-    /// A peer that sends nothing for this long is removed unless it is a seed.
+    /// Unanswered peers that receive one repeated hello.
+    std::size_t max_initial_hellos = 16;
+    /// Peers of the own data centre, and of others, that receive a hello in
+    /// one interval, in turn.
+    std::size_t near_hellos = 2;
+    std::size_t remote_hellos = 2;
+    /// Known peers of other data centres; a hello reaches each of them within
+    /// the retention time.
+    std::size_t max_remote_peers = 32;
+    /// A peer that neither sends anything nor is seen by another process for
+    /// this long is removed unless it is a seed.
     duration retention_time = std::chrono::seconds(10);
-    /// A peer that sends nothing for this long is logged. In a large fleet a
-    /// peer receives a hello only in one of several intervals.
-    duration peer_silence_timeout = std::chrono::seconds(3);
+    /// A peer that was seen within this time counts as live in the order of
+    /// succession.
+    duration live_timeout = std::chrono::milliseconds(2500);
+    /// A peer that leaves this many hellos in a row unanswered is logged.
+    std::uint32_t silent_after_hellos = 3;
     /// If the own directory is older than a peer's for this long, it is
     /// requested from the peer. Reading the store normally updates it sooner.
     duration behind_timeout = std::chrono::milliseconds(500);
-    /// A reader that sends nothing for longer is replaced; covers two missed
-    /// hellos.
-    duration reader_timeout = std::chrono::milliseconds(1200);
     /// Changes within this time are pushed together.
     duration push_interval = std::chrono::milliseconds(40);
+    /// Minimum time between two queries whether the reader has the same
+    /// directory.
+    duration reader_query_interval = std::chrono::milliseconds(100);
     /// Interval between two requests for a directory; doubles while none
     /// arrives, so that requests do not add to the load of a congested link.
     duration request_interval = std::chrono::milliseconds(200);
@@ -64,52 +76,81 @@
     void on_hello(machine_address from, const peer_hello& it,
                   const local_status& own, time_point now);
     void on_request(machine_address from, const directory& known);
-    /// @brief Makes the next tick send hellos, because their contents have
-    /// changed.
-    void request_hellos() { last_round_at_ = {}; }
-    /// @brief Whether this process should read the store for its data centre.
-    /// If `store_lost` is set, it should only if no other entry there reads the
-    /// store successfully; otherwise only if no such entry has a higher rank.
-    bool should_read(bool store_lost, time_point now) const;
+    /// @brief Whether this process should read the store for its data centre;
+    /// see reader_election.
+    bool should_read(bool reads, bool prefers_others, time_point now);
+    bool is_elected() const { return election_.is_elected(); }
+    /// @brief Asks the reader of the data centre for its state, unless it has
+    /// just been asked.
+    void query_reader(const local_status& own, time_point now);
     /// @brief True if a reader of the data centre announced the same directory
     /// within the last hello interval.
     bool reader_agrees(const directory& known, time_point now) const;
+    /// @brief Restarts the timeouts after this process was suspended.
+    void on_resumed(time_point now) { election_.on_resumed(now); }
     /// @brief Sends a changed directory to the entries of the data centre.
     void push(const directory& known, time_point now);
     /// @brief Returns the complete view once its last part has arrived.
     std::optional<directory_view> on_part(machine_address from,
                                           const directory_part& it);
-    /// @brief Adds an entry that another process named.
+    /// @brief Adds an entry that another process has recently heard from.
     void add_entry(machine_address machine, time_point now);
+    /// @brief Adds an entry of the own data centre that a host process of it
+    /// has recently heard from.
+    void add_near_entry(machine_address machine, time_point now);
     /// @brief True if a peer has had a newer directory with other contents for
     /// longer than `limit`, and the own one has not changed in that time. Then
     /// reading the store makes no progress.
     bool is_stuck(const directory& known, duration limit, time_point now) const;
-    std::vector<machine_address> live_peers(time_point now) const;
     /// @brief True if every known entry has sent this process at least one
     /// hello.
     bool all_answered() const;
 
 private:
     struct peer {
+        time_point known_since;
         time_point heard_at;
+        // When this process or another one heard from the peer.
+        time_point seen_at;
+        incarnation run;
         data_centre_id data_centre;
         revision as_of;
         std::uint64_t digest = 0;
         bool reads_store = false;
         bool answered = false;
-        // The peer answered once and was later reported as silent.
+        // The peer's program sends hellos without a reader announcement.
+        bool predates_announcements = false;
+        std::uint32_t unanswered_hellos = 0;
+        // The peer was reported as silent.
         bool silent = false;
         // The view being received, and its parts so far.
         directory_part receiving;
         std::map<std::uint16_t, bytes> parts;
     };
 
+    using peer_map = std::map<machine_address, peer>;
+
+    bool is_near(const peer& it) const {
+        return it.data_centre == options_.data_centre;
+    }
+    bool is_live(const peer& it, time_point now) const {
+        return is_near(it) && now - it.seen_at <= options_.live_timeout;
+    }
+    reader_election::standing own_standing(time_point now) const;
     peer_hello make_hello(const local_status& own, bool is_reply,
                           time_point now) const;
-    void send_hellos(const local_status& own, time_point now);
-    void report_silent(time_point now);
+    void send_hello(machine_address to, peer& receiver, peer_hello hello);
+    void run_round(const local_status& own, time_point now);
+    void forget_lost(time_point now);
+    std::vector<machine_address> successors(time_point now) const;
+    std::vector<machine_address> next_peers(bool near, machine_address& cursor,
+                                            std::size_t count) const;
+    void announce_reading(const local_status& own, time_point now);
     void repeat_initial_hellos(const local_status& own, time_point now);
+    void on_reader_state(machine_address from, const peer_hello& hello,
+                         time_point now);
+    void report_back(machine_address from, peer& sender, time_point now);
+    std::vector<machine_address> recently_heard(time_point now) const;
     void request_directory(const local_status& own, time_point now);
     void send_view(machine_address to, const directory& known,
                    bool with_routes) const;
@@ -119,9 +160,16 @@
     peer_entry_options options_;
     send_function send_;
     std::function<void(const event&)> report_;
-    std::map<machine_address, peer> peers_;
-    // The next peer to receive a hello; hellos rotate through all peers.
-    machine_address next_;
+    peer_map peers_;
+    reader_election election_;
+    // The next peers to receive a hello; hellos rotate through all peers.
+    machine_address next_near_;
+    machine_address next_remote_;
+    // The number of own announcements, and whether the last one said that
+    // this process reads the store.
+    std::uint64_t announcements_ = 0;
+    bool announced_reading_ = false;
+    time_point reader_queried_at_;
     time_point last_round_at_;
     // The first tick, and the last repeated hello to entries that have not
     // answered.
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -17,10 +17,6 @@
 // one has not changed for this long. Processes normally read the same change
 // within some milliseconds of each other.
 constexpr duration stuck_limit = std::chrono::milliseconds(700);
-// After the store has rejected an entry, other entries read it for this long.
-// Each attempt is a billed call and takes over reading from an entry that
-// succeeds. Impairments of the store last seconds.
-constexpr duration reader_backoff = std::chrono::seconds(2);
 // Minimum time between two repeated listings, because the store limits calls.
 constexpr duration reread_interval = std::chrono::seconds(2);
 
@@ -66,8 +62,9 @@
                             time_point now) {
     const bool was_dead = peers_.host_is_dead(from);
     peers_.on_report(from, it, now);
+    // Host processes list the entries of the recipient's data centre.
     for (const machine_address entry : it.entries)
-        entries_.add_entry(entry, now);
+        entries_.add_near_entry(entry, now);
     if (peers_.host_is_dead(from) != was_dead)
         report({.severity = event::level::info,
                 .name = was_dead ? "host_back" : "host_dead",
@@ -168,6 +165,7 @@
                 .value = static_cast<std::uint64_t>(
                     (now - *last_tick_).count() / 1000)});
         peers_.on_resumed(now);
+        entries_.on_resumed(now);
         hooks_.restart_reading("paused");
     }
     last_tick_ = now;
@@ -185,6 +183,9 @@
         hooks_.restart_reading("behind_peers");
     }
     hedge_openings(now);
+    if (!reading_ && search_.pending_conclusions() > 0 &&
+        !entries_.reader_agrees(directory_, now))
+        entries_.query_reader(local_status(), now);
     search_.on_tick(now);
 }
 
@@ -192,7 +193,7 @@
     return {.known = directory_,
             .store_lost = directory_.is_store_lost(),
             .reads_store =
-                reading_ && directory_.is_ready() && !awaits_store_answer_,
+                reading_ && entries_.is_elected() && !awaits_store_answer_,
             .departed = peers_.departed()};
 }
 
@@ -275,28 +276,19 @@
 }
 
 // One entry reads the store for its data centre and pushes changes to the
-// others. The next one by rank takes over if the reader sends no more hellos or
-// is rejected by the store. The number of calls to the store thus grows with
-// the number of data centres, not of entries.
+// others, so the number of calls to the store grows with the number of data
+// centres, not of entries.
 void entry_relay::choose_reader(time_point now) {
-    const bool lost = directory_.is_store_lost();
-    if (lost != store_was_lost_) {
-        store_was_lost_ = lost;
-        entries_.request_hellos();
-    }
-    if (lost) {
-        reader_backoff_until_ = now + reader_backoff;
+    if (directory_.is_store_lost())
         awaits_store_answer_ = true;
-    }
-    const bool prefers_others = lost || now < reader_backoff_until_;
     const bool reads =
-        !directory_.is_ready() || entries_.should_read(prefers_others, now);
+        !directory_.is_ready() ||
+        entries_.should_read(reading_, awaits_store_answer_, now);
     if (reads == reading_)
         return;
     reading_ = reads;
     if (reads)
         reading_since_ = now;
-    entries_.request_hellos();
     report({.severity = event::level::info,
             .name = reads ? "reads_store" : "follows_reader"});
     if (!reads)
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -242,6 +242,9 @@
     if (packet.rst)
         return;
     const bool is_new = !search_.active(packet.flow);
+    // A search may end without an owner only if the reader has the same hosts.
+    if (!reading_)
+        entries_.query_reader(local_status(), now);
     if (!search_.add(packet, denied, now))
         report(
             {.name = "dropped", .reason = "search_full", .flow = packet.flow});
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -9,8 +9,10 @@
 namespace {
 
 constexpr duration sweep_interval = std::chrono::seconds(1);
-// Entries listed in one report; other processes' reports list the rest.
-constexpr std::size_t max_listed_entries = 16;
+// Entries listed in one report; later reports list the next ones.
+constexpr std::size_t max_listed_entries = 4;
+// Only entries heard within this time are listed, which covers two hellos.
+constexpr duration listing_age = std::chrono::seconds(1);
 
 } // namespace
 
@@ -27,14 +29,18 @@
                        .machine = from});
         return;
     }
-    entries_[from] = {hello_message->data_centre, now};
+    entry& sender = entries_[from];
+    sender.data_centre = hello_message->data_centre;
+    sender.heard_at = now;
     if (hello_message->idle_timeout > duration::zero())
         options_.idle_timeout = hello_message->idle_timeout;
     on_registration(hello_message->registered, now);
     if (hello_message->host_started.value() + options_.restart_gap_ms >=
         options_.started.value())
         flows_complete_since_ = now - options_.idle_timeout;
-    hooks_.send(from, make_report(now));
+    load_report report = make_report(now);
+    report.entries = next_listed_entries(sender, now);
+    hooks_.send(from, report);
     if (hello_message->wants_flows)
         send_flows(from, hello_message->data_centre, now);
 }
@@ -149,17 +155,33 @@
 }
 
 load_report host_relay::make_report(time_point now) {
-    load_report out{.run = options_.run,
-                    .service = options_.service,
-                    .host = state_,
-                    .knows_all_flows = knows_all_flows(now),
-                    .outstanding = load_.outstanding(),
-                    .busy_milli = static_cast<std::uint32_t>(
-                        1000 * std::max(load_.mean(now), 0.0)),
-                    .flows = static_cast<std::uint32_t>(flows_.size())};
-    for (const auto& [machine, it] : entries_)
-        if (out.entries.size() < max_listed_entries)
-            out.entries.push_back(machine);
+    return {.run = options_.run,
+            .service = options_.service,
+            .host = state_,
+            .knows_all_flows = knows_all_flows(now),
+            .outstanding = load_.outstanding(),
+            .busy_milli = static_cast<std::uint32_t>(
+                1000 * std::max(load_.mean(now), 0.0)),
+            .flows = static_cast<std::uint32_t>(flows_.size())};
+}
+
+// Lists the entries of the recipient's data centre in turn, so that they find
+// one another.
+std::vector<machine_address> host_relay::next_listed_entries(entry& recipient,
+                                                             time_point now) {
+    std::vector<machine_address> out;
+    auto it = entries_.upper_bound(recipient.last_listed);
+    for (std::size_t n = entries_.size();
+         n > 0 && out.size() < max_listed_entries; --n) {
+        if (it == entries_.end())
+            it = entries_.begin();
+        if (it->second.data_centre == recipient.data_centre &&
+            now - it->second.heard_at <= listing_age)
+            out.push_back(it->first);
+        ++it;
+    }
+    if (!out.empty())
+        recipient.last_listed = out.back();
     return out;
 }
 
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -5,6 +5,8 @@
 #include <arbutusport/base/hash.hpp>
 #include <arbutusport/relay/messages.hpp>
 
+#include <array>
+
 namespace arbutusport::relay {
 
 namespace {
@@ -19,6 +21,8 @@
     peer_hello,
     directory_request,
     directory_part,
+    // A peer_hello followed by a reader_announcement.
+    peer_hello_with_reader,
 };
 
 constexpr std::size_t endpoint_bytes = 6;
@@ -151,7 +155,7 @@
 }
 
 void write(byte_writer& out, const peer_hello& it) {
-    put_type(out, type::peer_hello);
+    put_type(out, it.reader ? type::peer_hello_with_reader : type::peer_hello);
     out.put(it.run.value());
     out.put(it.data_centre.value());
     out.put(it.as_of.value());
@@ -164,6 +168,11 @@
         out.put(one.machine.value());
         out.put(one.service.value());
     }
+    if (it.reader) {
+        out.put(it.reader->reader.value());
+        out.put(it.reader->run.value());
+        out.put(it.reader->count);
+    }
 }
 
 void write(byte_writer& out, const directory_request&) {
@@ -241,6 +250,15 @@
     return it;
 }
 
+peer_hello read_peer_hello_with_reader(byte_reader& in) {
+    peer_hello it = read_peer_hello(in);
+    it.reader.emplace();
+    it.reader->reader = machine_address(in.take<std::uint32_t>());
+    it.reader->run = incarnation(in.take<std::uint64_t>());
+    it.reader->count = in.take<std::uint64_t>();
+    return it;
+}
+
 directory_part read_directory_part(byte_reader& in) {
     directory_part it;
     it.as_of = revision(in.take<std::uint64_t>());
@@ -272,9 +290,11 @@
     case type::directory_request:
         return directory_request{};
     case type::directory_part:
+        return read_directory_part(in);
+    case type::peer_hello_with_reader:
         break;
     }
-    return read_directory_part(in);
+    return read_peer_hello_with_reader(in);
 }
 
 leaf::error_id reject(const char* reason) {
@@ -372,6 +392,15 @@
     return "wrong_service";
 }
 
+const char* type_name(const message& it) {
+    // In the order of the variant's alternatives.
+    constexpr std::array<const char*, std::variant_size_v<message>> names{
+        "hello",      "load_report",       "owned_flows",
+        "flow_query", "flow_denial",       "packet_returned",
+        "peer_hello", "directory_request", "directory_part"};
+    return names[it.index()];
+}
+
 bytes encode(const message& it) {
     byte_writer out;
     std::visit([&](const auto& one) { write(out, one); }, it);
@@ -382,7 +411,7 @@
     byte_reader in(data);
     const auto kind = in.take<std::uint8_t>();
     if (kind < static_cast<std::uint8_t>(type::hello) ||
-        kind > static_cast<std::uint8_t>(type::directory_part))
+        kind > static_cast<std::uint8_t>(type::peer_hello_with_reader))
         return reject("unknown message type");
     message out = read(static_cast<type>(kind), in);
     if (!in.complete())
--- a/packages/core/src/relay/peer_entries.cpp
+++ b/packages/core/src/relay/peer_entries.cpp
@@ -1,16 +1,20 @@
 // Hellos between entries, and the transfer of a newer directory.
 
-#include <arbutusport/base/hash.hpp>
 #include <arbutusport/relay/peer_entries.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace arbutusport::relay {
 
 namespace {
 
 // Entries listed in one hello; more would not speed up discovery.
-constexpr std::size_t max_listed_entries = 16;
+constexpr std::size_t max_listed_entries = 8;
+// Only entries heard within this time are listed, so that entries do not keep
+// naming one that has ended to each other.
+constexpr duration listing_age = std::chrono::seconds(1);
 // A larger directory would exceed the memory of a process.
 constexpr std::uint16_t max_parts = 4096;
 // A peer that has been silent for longer receives no directory request.
@@ -18,8 +22,9 @@
 
 // Delay with which a busy process may send a hello.
 constexpr duration hello_delay = std::chrono::milliseconds(150);
-// Makes the rank of readers independent of other ranks.
-constexpr std::uint64_t reader_seed = 0x72656164;
+// Hellos of an earlier run of a process arrive late by at most this time. A run
+// may have a lower number than the one before it after a step of the clock.
+constexpr duration earlier_run_timeout = std::chrono::seconds(2);
 
 } // namespace
 
@@ -27,7 +32,10 @@
                            send_function send_message,
                            std::function<void(const event&)> report)
     : options_(std::move(options)), send_(std::move(send_message)),
-      report_(std::move(report)) {}
+      report_(std::move(report)),
+      election_({.self = options_.self,
+                 .announce_interval = options_.hello_interval,
+                 .announce_delay = hello_delay}) {}
 
 void peer_entries::on_tick(const local_status& own, time_point now) {
     if (own.known.as_of() != own_as_of_) {
@@ -37,13 +45,17 @@
     request_directory(own, now);
     if (!started_at_)
         started_at_ = now;
+    announce_reading(own, now);
+    if (!own.reads_store)
+        if (const auto reader = election_.query_due(own_standing(now), now))
+            send_hello(*reader, peers_[*reader], make_hello(own, false, now));
     if (now - last_round_at_ < options_.hello_interval) {
         repeat_initial_hellos(own, now);
         return;
     }
     last_round_at_ = now;
-    report_silent(now);
-    send_hellos(own, now);
+    ++announcements_;
+    run_round(own, now);
 }
 
 // If the first hello is lost, this process must still receive the state of the
@@ -55,10 +67,11 @@
             options_.initial_hello_interval)
         return;
     initial_hello_at_ = now;
-    const message hello = make_hello(own, false, now);
-    for (const auto& [machine, it] : peers_)
-        if (!it.answered)
-            send_(machine, hello);
+    const peer_hello hello = make_hello(own, false, now);
+    std::size_t sent = 0;
+    for (auto& [machine, it] : peers_)
+        if (!it.answered && sent++ < options_.max_initial_hellos)
+            send_hello(machine, it, hello);
 }
 
 bool peer_entries::all_answered() const {
@@ -66,40 +79,114 @@
         peers_, [](const auto& it) { return it.second.answered; });
 }
 
-void peer_entries::report_silent(time_point now) {
-    for (auto& [machine, it] : peers_) {
-        if (it.silent || !it.answered ||
-            now - it.heard_at <= options_.peer_silence_timeout)
+reader_election::standing peer_entries::own_standing(time_point now) const {
+    reader_election::standing out;
+    const auto& reader = election_.reader();
+    const auto own_rank = reader_election::rank(options_.self);
+    for (const auto& [machine, it] : peers_) {
+        if (!is_live(it, now))
             continue;
-        it.silent = true;
-        report_(
-            {.severity = event::level::info,
-             .name = "peer_silent",
-             .machine = machine,
-             .inputs = {{{"silent_ms", (now - it.heard_at) /
-                                           std::chrono::milliseconds(1)}}}});
+        ++out.members;
+        if (reader_election::rank(machine) > own_rank &&
+            (!reader || reader->announcement.reader != machine))
+            ++out.position;
+    }
+    return out;
+}
+
+// The peers that succeed this process as the reader.
+std::vector<machine_address> peer_entries::successors(time_point now) const {
+    std::vector<std::pair<std::uint64_t, machine_address>> ranked;
+    for (const auto& [machine, it] : peers_)
+        if (is_live(it, now))
+            ranked.emplace_back(reader_election::rank(machine), machine);
+    const auto n = std::min(ranked.size(), election_.successor_count());
+    std::ranges::partial_sort(ranked,
+                              ranked.begin() + static_cast<std::ptrdiff_t>(n),
+                              std::greater());
+    std::vector<machine_address> out;
+    for (std::size_t i = 0; i < n; ++i)
+        out.push_back(ranked[i].second);
+    return out;
+}
+
+// Returns the next `count` peers of the own data centre, or all others, after
+// `cursor` and advances it.
+std::vector<machine_address> peer_entries::next_peers(bool near,
+                                                      machine_address& cursor,
+                                                      std::size_t count) const {
+    std::vector<machine_address> out;
+    auto it = peers_.upper_bound(cursor);
+    for (std::size_t n = peers_.size(); n > 0 && out.size() < count; --n) {
+        if (it == peers_.end())
+            it = peers_.begin();
+        if (is_near(it->second) == near)
+            out.push_back(it->first);
+        ++it;
     }
+    if (!out.empty())
+        cursor = out.back();
+    return out;
 }
 
-void peer_entries::send_hellos(const local_status& own, time_point now) {
+void peer_entries::run_round(const local_status& own, time_point now) {
     for (const machine_address seed : options_.seeds)
         if (seed != options_.self)
-            peers_.try_emplace(seed);
+            peers_.try_emplace(seed, peer{.known_since = now});
+    forget_lost(now);
+    std::vector<machine_address> receivers;
+    if (own.reads_store)
+        receivers = successors(now);
+    for (const machine_address it :
+         next_peers(true, next_near_, options_.near_hellos))
+        receivers.push_back(it);
+    for (const machine_address it :
+         next_peers(false, next_remote_, options_.remote_hellos))
+        receivers.push_back(it);
+    std::ranges::sort(receivers);
+    const auto repeated = std::ranges::unique(receivers);
+    receivers.erase(repeated.begin(), repeated.end());
+    const peer_hello hello = make_hello(own, false, now);
+    for (const machine_address it : receivers)
+        send_hello(it, peers_.at(it), hello);
+}
+
+void peer_entries::forget_lost(time_point now) {
     std::erase_if(peers_, [&](const auto& it) {
         const bool is_seed =
             std::ranges::find(options_.seeds, it.first) != options_.seeds.end();
-        return !is_seed && now - it.second.heard_at > options_.retention_time;
+        return !is_seed &&
+               now - std::max(it.second.seen_at, it.second.known_since) >
+                   options_.retention_time;
     });
-    const message hello = make_hello(own, false, now);
-    auto it = peers_.lower_bound(next_);
-    for (std::size_t n = std::min(peers_.size(), options_.max_hellos); n > 0;
-         --n) {
-        if (it == peers_.end())
-            it = peers_.begin();
-        send_(it->first, hello);
-        ++it;
+}
+
+void peer_entries::send_hello(machine_address to, peer& receiver,
+                              peer_hello hello) {
+    if (receiver.predates_announcements)
+        hello.reader.reset();
+    if (!hello.is_reply &&
+        ++receiver.unanswered_hellos == options_.silent_after_hellos &&
+        receiver.answered && !receiver.silent) {
+        receiver.silent = true;
+        report_({.severity = event::level::info,
+                 .name = "peer_silent",
+                 .machine = to,
+                 .value = receiver.unanswered_hellos});
     }
-    next_ = it == peers_.end() ? machine_address() : it->first;
+    send_(to, hello);
+}
+
+// The entries of the data centre learn at once that this process reads the
+// store, or no longer does.
+void peer_entries::announce_reading(const local_status& own, time_point now) {
+    if (std::exchange(announced_reading_, own.reads_store) == own.reads_store)
+        return;
+    ++announcements_;
+    const peer_hello hello = make_hello(own, true, now);
+    for (auto& [machine, it] : peers_)
+        if (is_near(it))
+            send_hello(machine, it, hello);
 }
 
 void peer_entries::on_hello(machine_address from, const peer_hello& hello,
@@ -107,24 +194,53 @@
     for (const machine_address it : hello.entries)
         add_entry(it, now);
     peer& sender = peers_[from];
-    if (std::exchange(sender.silent, false))
-        report_(
-            {.severity = event::level::info,
-             .name = "peer_back",
-             .machine = from,
-             .inputs = {{{"silent_ms", (now - sender.heard_at) /
-                                           std::chrono::milliseconds(1)}}}});
+    if (sender.answered && now - sender.heard_at < earlier_run_timeout &&
+        (hello.run < sender.run ||
+         (hello.run == sender.run && hello.as_of < sender.as_of)))
+        return;
+    report_back(from, sender, now);
     sender.answered = true;
     sender.heard_at = now;
+    sender.seen_at = now;
+    sender.run = hello.run;
     sender.data_centre = hello.data_centre;
     sender.as_of = hello.as_of;
     sender.digest = hello.digest;
     sender.reads_store = hello.reads_store;
+    sender.predates_announcements = !hello.reader;
+    sender.unanswered_hellos = 0;
+    if (hello.data_centre == options_.data_centre)
+        on_reader_state(from, hello, now);
     if (!hello.is_reply)
-        send_(from, make_hello(own, true, now));
+        send_hello(from, sender, make_hello(own, true, now));
     request_directory(own, now);
 }
 
+void peer_entries::report_back(machine_address from, peer& sender,
+                               time_point now) {
+    if (std::exchange(sender.silent, false))
+        report_(
+            {.severity = event::level::info,
+             .name = "peer_back",
+             .machine = from,
+             .inputs = {{{"silent_ms", (now - sender.heard_at) /
+                                           std::chrono::milliseconds(1)}}}});
+}
+
+void peer_entries::on_reader_state(machine_address from,
+                                   const peer_hello& hello, time_point now) {
+    if (hello.reads_store) {
+        const bool has_own = hello.reader && hello.reader->reader == from;
+        election_.on_announced(has_own ? *hello.reader
+                                       : reader_announcement{from, hello.run},
+                               true, now);
+        return;
+    }
+    election_.on_withdrawn(from, now);
+    if (hello.reader && hello.reader->reader != machine_address())
+        election_.on_announced(*hello.reader, false, now);
+}
+
 // Sends the request to one peer at a time; views from all peers at once would
 // congest a slow link.
 void peer_entries::request_directory(const local_status& own, time_point now) {
@@ -182,22 +298,23 @@
     pushed_routing_ = known.routing_at();
     pushed_at_ = now;
     for (const auto& [machine, it] : peers_)
-        if (it.data_centre == options_.data_centre &&
-            now - it.heard_at <= options_.reader_timeout &&
-            it.digest != known.digest())
+        if (is_near(it) && it.digest != known.digest())
             send_view(machine, known, with_routes);
 }
 
-bool peer_entries::should_read(bool store_lost, time_point now) const {
-    const auto rank = [](machine_address it) {
-        return hash_combine(it.value(), reader_seed);
-    };
-    return std::ranges::none_of(peers_, [&](const auto& it) {
-        const peer& one = it.second;
-        return one.reads_store && one.data_centre == options_.data_centre &&
-               now - one.heard_at <= options_.reader_timeout &&
-               (store_lost || rank(it.first) > rank(options_.self));
-    });
+bool peer_entries::should_read(bool reads, bool prefers_others,
+                               time_point now) {
+    return election_.should_read(reads, prefers_others, own_standing(now), now);
+}
+
+void peer_entries::query_reader(const local_status& own, time_point now) {
+    const auto& reader = election_.reader();
+    if (own.reads_store || !reader ||
+        now - reader_queried_at_ < options_.reader_query_interval)
+        return;
+    reader_queried_at_ = now;
+    const machine_address machine = reader->announcement.reader;
+    send_hello(machine, peers_[machine], make_hello(own, false, now));
 }
 
 bool peer_entries::reader_agrees(const directory& known, time_point now) const {
@@ -257,7 +374,26 @@
 void peer_entries::add_entry(machine_address machine, time_point now) {
     if (machine == options_.self || machine == machine_address())
         return;
-    peers_.try_emplace(machine, peer{.heard_at = now});
+    const auto known = peers_.find(machine);
+    if (known != peers_.end()) {
+        if (known->second.answered)
+            known->second.seen_at = now;
+        return;
+    }
+    const auto remote = std::ranges::count_if(
+        peers_, [&](const auto& it) { return !is_near(it.second); });
+    if (static_cast<std::size_t>(remote) < options_.max_remote_peers)
+        peers_.emplace(machine, peer{.known_since = now});
+}
+
+void peer_entries::add_near_entry(machine_address machine, time_point now) {
+    if (machine == options_.self || machine == machine_address())
+        return;
+    peer& it =
+        peers_.try_emplace(machine, peer{.known_since = now}).first->second;
+    it.seen_at = now;
+    if (!it.answered)
+        it.data_centre = options_.data_centre;
 }
 
 bool peer_entries::is_stuck(const directory& known, duration limit,
@@ -266,25 +402,39 @@
            now - own_changed_at_ > limit && known.as_of() == own_as_of_;
 }
 
-std::vector<machine_address> peer_entries::live_peers(time_point now) const {
+std::vector<machine_address>
+peer_entries::recently_heard(time_point now) const {
     std::vector<machine_address> out;
-    for (const auto& [machine, it] : peers_)
-        if (now - it.heard_at <= options_.retention_time &&
-            out.size() < max_listed_entries)
-            out.push_back(machine);
+    // Starts at the peer that receives the next hello, so that the list
+    // changes from round to round.
+    auto it = peers_.upper_bound(next_near_);
+    for (std::size_t n = peers_.size();
+         n > 0 && out.size() < max_listed_entries; --n) {
+        if (it == peers_.end())
+            it = peers_.begin();
+        if (it->second.answered && now - it->second.heard_at <= listing_age)
+            out.push_back(it->first);
+        ++it;
+    }
     return out;
 }
 
 peer_hello peer_entries::make_hello(const local_status& own, bool is_reply,
                                     time_point now) const {
-    return {.run = options_.run,
-            .data_centre = options_.data_centre,
-            .as_of = own.known.as_of(),
-            .digest = own.known.digest(),
-            .reads_store = own.reads_store && !own.store_lost,
-            .is_reply = is_reply,
-            .entries = live_peers(now),
-            .departed = own.departed};
+    peer_hello hello{.run = options_.run,
+                     .data_centre = options_.data_centre,
+                     .as_of = own.known.as_of(),
+                     .digest = own.known.digest(),
+                     .reads_store = own.reads_store && !own.store_lost,
+                     .is_reply = is_reply,
+                     .entries = recently_heard(now),
+                     .departed = own.departed,
+                     .reader = reader_announcement{}};
+    if (hello.reads_store)
+        hello.reader = {options_.self, options_.run, announcements_};
+    else if (election_.has_reader(own_standing(now), now))
+        hello.reader = election_.reader()->announcement;
+    return hello;
 }
 
 } // namespace arbutusport::relay
--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -20,6 +20,8 @@
 struct relay_world_options {
     std::size_t entries = 3;
     std::size_t hosts = 6;
+    /// Entries and hosts belong to the data centres in turn.
+    std::size_t data_centres = 1;
     std::uint64_t seed = 1;
     duration delay = std::chrono::milliseconds(1);
     /// Fraction of packets and messages that are dropped.
@@ -32,6 +34,17 @@
 /// All others take the usual delay.
 using deviations = std::map<std::size_t, std::optional<duration>>;
 
+/// @brief Messages of one type, without packets, by path.
+struct message_count {
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+};
+
+struct path_counts {
+    message_count within_data_centre;
+    message_count between_data_centres;
+};
+
 /// @brief Violated invariants, one line each.
 using violations = std::vector<std::string>;
 
@@ -97,6 +110,12 @@
     /// store outage.
     void expire_all_registrations();
 
+    /// @brief Messages sent by entries and host processes so far, by type.
+    const std::map<std::string, path_counts>& sent_messages() const {
+        return sent_messages_;
+    }
+    /// @brief Messages that the entry has sent and received so far.
+    message_count traffic_of_entry(std::size_t entry) const;
     std::uint64_t bytes_sent_by_entries() const { return entry_bytes_; }
     std::uint64_t resets() const { return resets_; }
     std::uint64_t flows_placed_at(std::size_t host) const;
@@ -107,6 +126,9 @@
     /// the first of them.
     std::size_t reader_count() const;
     std::size_t first_reader() const;
+    /// @brief Number of times that an entry started to read the store after
+    /// its start.
+    std::uint64_t reader_changes() const { return reader_changes_; }
     bool is_entry_ready(std::size_t entry) const;
     const relay::directory& directory_of(std::size_t entry) const;
     const violations& found_violations() const { return violations_; }
@@ -140,6 +162,9 @@
     relay::host_record record_of(std::size_t host) const;
     void send_to_host(relay::machine_address from, relay::machine_address to,
                       relay::routing_mark mark, byte_view data);
+    relay::data_centre_id data_centre_of(relay::machine_address machine) const;
+    void count_message(relay::machine_address from, relay::machine_address to,
+                       const relay::message& message);
     void send_message(relay::machine_address from, relay::machine_address to,
                       const relay::message& message);
     void deliver_to_host(std::size_t host, relay::machine_address via,
@@ -168,6 +193,8 @@
     deviations deviations_;
     std::size_t transfer_count_ = 0;
     std::uint64_t entry_bytes_ = 0;
+    std::map<std::string, path_counts> sent_messages_;
+    std::uint64_t reader_changes_ = 0;
     std::uint64_t resets_ = 0;
     std::uint64_t store_answers_ = 0;
     std::uint64_t store_refusals_ = 0;
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -104,6 +104,7 @@
         .set_reading_enabled =
             [this, entry, alive](bool reads, relay::revision) {
                 entries_[entry]->is_reader = reads;
+                reader_changes_ += reads ? 1 : 0;
                 if (reads)
                     schedule(4 * options_.delay, [this, entry, alive] {
                         if (alive())
@@ -116,7 +117,7 @@
         relay::entry_relay_options{
             .run = incarnation(run),
             .self = self,
-            .data_centre = data_centre,
+            .data_centre = data_centre_of(self),
             .seeds = {machine_address(first_entry_address)},
             .search = {.budget = {.bytes_per_second =
                                       options_.search_bytes_per_second}}},
@@ -194,8 +195,37 @@
     });
 }
 
+relay::data_centre_id
+relay_world::data_centre_of(machine_address machine) const {
+    const auto first = machine.value() >= first_host_address
+                           ? first_host_address
+                           : first_entry_address;
+    return relay::data_centre_id(1 + (machine.value() - first) %
+                                         options_.data_centres);
+}
+
+void relay_world::count_message(machine_address from, machine_address to,
+                                const relay::message& message) {
+    // IPv4 and UDP headers of each datagram.
+    constexpr std::size_t datagram_overhead = 28;
+    const auto size = relay::encode(message).size() + datagram_overhead;
+    path_counts& counts = sent_messages_[relay::type_name(message)];
+    message_count& path = data_centre_of(from) == data_centre_of(to)
+                              ? counts.within_data_centre
+                              : counts.between_data_centres;
+    const auto add = [&](message_count& it) {
+        ++it.messages;
+        it.bytes += size;
+    };
+    add(path);
+    for (const machine_address it : {from, to})
+        if (it.value() - first_entry_address < entries_.size())
+            add(entries_[it.value() - first_entry_address]->traffic);
+}
+
 void relay_world::send_message(machine_address from, machine_address to,
                                const relay::message& message) {
+    count_message(from, to, message);
     const auto delay = next_transfer_delay();
     if (!delay || is_isolated(from) || is_isolated(to))
         return;
--- a/packages/testing/src/emulator/relay_world_faults.cpp
+++ b/packages/testing/src/emulator/relay_world_faults.cpp
@@ -82,7 +82,7 @@
     return {.key = relay::host_key(host * 100 + it.registered_boot),
             .service = it.service,
             .address = it.address,
-            .data_centre = data_centre,
+            .data_centre = data_centre_of(machine_address(it.address.address)),
             .draining = it.draining,
             .slots = 2,
             .started = wall_clock(it.booted_at)};
@@ -153,6 +153,10 @@
     return hosts_[host]->placed;
 }
 
+message_count relay_world::traffic_of_entry(std::size_t entry) const {
+    return entries_[entry]->traffic;
+}
+
 std::size_t relay_world::reader_count() const {
     return static_cast<std::size_t>(std::ranges::count_if(
         entries_, [](const auto& it) { return it->process && it->is_reader; }));
--- a/packages/testing/src/emulator/relay_world_state.hpp
+++ b/packages/testing/src/emulator/relay_world_state.hpp
@@ -18,7 +18,6 @@
 inline const endpoint service_address{0xc6120001, 443};
 inline const service_id main_service = service_id_of("participa");
 inline const service_id other_service = service_id_of("acervo");
-inline const relay::data_centre_id data_centre(7);
 inline constexpr duration tick_interval = milliseconds(25);
 // Client retransmission: first after 200 ms, then the interval doubles.
 inline constexpr duration first_retransmission = milliseconds(200);
@@ -101,6 +100,7 @@
     bool is_reader = true;
     bool isolated = false;
     machine_address machine;
+    message_count traffic;
 };
 
 } // namespace arbutusport::emulator
