Follow a bounded number of host processes in other data centres

Cause: every entry exchanged a hello and a report with every host process each 400 ms: 20,000 exchanges a second on the large site, four fifths of them between data centres, which are priced.

Change: an entry follows the host processes of its own data centre and six of each service elsewhere, chosen by rank for the data centre so that its entries follow the same ones. It follows more while hosts of its own are missing, unreachable or busy, and all that are no longer registered. Others are known by address, for searches. Timeouts of silence and isolation are computed from the interval of hellos. If no followed host is reachable, flows are placed at any. The newest record of a machine is found by address instead of by a walk over all hosts.

Tests: relay_fleet_test, one of them a growth test of messages and bytes at rest at 24 and 96 entries.

--- a/packages/core/include/arbutusport/relay/directory.hpp
+++ b/packages/core/include/arbutusport/relay/directory.hpp
@@ -145,13 +145,16 @@
     duration idle_timeout() const { return routing_.idle_timeout; }
     const route* find_route(const endpoint& service) const;
     const std::map<host_key, host>& hosts() const { return hosts_; }
+    /// @brief The newest record of a host at the IPv4 address, of any service;
+    /// null if there is none.
+    const host* newest_at(std::uint32_t address) const;
 
 private:
     void apply_routing(revision at, routing_document document);
     void apply_host(revision at, const host_record& record, time_point now);
     void remove_host(host_key key, time_point now);
     bool is_in_lapse_grace(time_point now) const;
-    void update_digest();
+    void update_derived();
 
     directory_options options_;
     revision as_of_;
@@ -159,6 +162,8 @@
     routing_document routing_;
     std::unordered_map<endpoint, route> routes_;
     std::map<host_key, host> hosts_;
+    // The newest host at each address; always matches `hosts_`.
+    std::unordered_map<std::uint32_t, host_key> newest_by_address_;
     std::uint64_t digest_ = 0;
     bool store_lost_ = false;
     // Set by the first on_store_regained().
--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -164,7 +164,6 @@
                      time_point now);
     void on_directory_changed(const char* reason, time_point now);
     bool is_known_machine(machine_address it) const;
-    const directory::host* registered_host(machine_address it) const;
     void report(event it) const;
 
     entry_relay_options options_;
--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -1,5 +1,9 @@
 // An entry's table of the relay processes on host machines: which of them
-// answer, which hosts are alive, and their load.
+// answer, which hosts are alive, and their load. An entry exchanges hellos and
+// reports with the processes that it follows: those of its own data centre, a
+// few of each service in others, where it may place flows, and those whose host
+// is no longer registered. The remaining processes are known by address only,
+// so that the traffic between data centres does not grow as entries x hosts.
 #pragma once
 
 #include <arbutusport/relay/directory.hpp>
@@ -8,19 +12,36 @@
 #include <arbutusport/relay/placement.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace arbutusport::relay {
 
 struct host_peer_options {
-    /// Interval of hellos to each process; it bounds the age of load figures.
+    data_centre_id data_centre;
+    /// Interval of hellos to each followed process of the own data centre, and
+    /// of others; it bounds the age of load figures.
     duration hello_interval = std::chrono::milliseconds(400);
-    /// Two hellos without an answer, and a round trip.
-    duration isolation_timeout = std::chrono::milliseconds(900);
-    /// A process that has not answered three hellos receives no new flows.
-    duration silence_timeout = std::chrono::milliseconds(1300);
+    duration remote_hello_interval = std::chrono::milliseconds(800);
+    /// A round trip to another data centre, and the delay of a busy process.
+    duration answer_delay = std::chrono::milliseconds(100);
+    /// A machine is isolated if no process answered this many hellos.
+    int isolation_hellos = 2;
+    /// A process that has not answered this many hellos receives no new flows.
+    int silence_hellos = 3;
+    /// Followed hosts of each service in other data centres, while the hosts
+    /// of the own one have capacity. Equals the number of remote hosts among
+    /// which a flow is placed.
+    std::size_t remote_hosts = 6;
+    /// Requests per slot at the hosts of the own data centre above which more
+    /// remote hosts are followed, and above which all are.
+    double low_load = 0.4;
+    double high_load = 0.8;
+    /// Interval at which the followed hosts are selected anew.
+    duration selection_interval = std::chrono::milliseconds(500);
     /// A host may serve its flows for many seconds after its registration
     /// vanished; the relay process on its machine ends with it. A process
     /// without a registered host is removed after this time without a report.
@@ -37,11 +58,15 @@
 public:
     struct peer {
         bool registered = true;
+        /// Hellos are sent to the process.
+        bool followed = true;
+        /// The process has reported since it is followed.
         bool has_reported = false;
         /// Taken from the registration until the process reports its own.
         service_tag service;
         data_centre_id data_centre;
         time_point heard_at;
+        /// Since when the process is followed, or unregistered.
         time_point known_since;
         time_point hello_at;
         load_report report;
@@ -60,12 +85,18 @@
     /// @brief Adds a process without a registered host that another entry
     /// reported.
     void add_departed(const departed_host& it, time_point now);
+    /// @brief Selects the hosts of other data centres to follow, by rank for
+    /// the own data centre, so that its entries follow the same ones. Hosts
+    /// that do not answer or are draining do not count. Called by
+    /// take_due_hellos().
+    void select_followed(const directory& known, time_point now);
     /// @brief Processes without a registered host that still answer this
     /// entry.
     std::vector<departed_host> departed() const;
     /// @brief Returns the machines whose hello is due and marks these hellos
     /// as sent.
-    std::vector<machine_address> take_due_hellos(time_point now);
+    std::vector<machine_address> take_due_hellos(const directory& known,
+                                                 time_point now);
     void on_report(machine_address from, const load_report& it, time_point now);
     void on_flows(machine_address from, const owned_flows& it);
     void on_placed(machine_address machine);
@@ -79,30 +110,41 @@
     bool host_is_dead(machine_address machine) const;
     /// @brief Age of the last report in ms; -1 if there was none.
     std::int64_t report_age_ms(machine_address machine, time_point now) const;
-    /// @brief True if no known process answered two hellos in a row. Then this
-    /// machine is disconnected, or no host can serve.
+    /// @brief True if no followed process answered two hellos in a row. Then
+    /// this machine is disconnected, or no host can serve.
     bool is_isolated(time_point now) const;
-    /// @brief True if every known process has answered its first hello or has
-    /// exceeded the silence timeout.
+    /// @brief True if every followed process has answered its first hello or
+    /// has exceeded the silence timeout.
     bool has_initial_reports(time_point now) const;
     /// @brief Returns all processes whose host may own a flow. Likely owners
     /// are hosts of the services that its route names now and that have not
     /// sent their flows yet. Other hosts are included because a flow keeps its
     /// host when a new configuration changes its route.
     std::vector<owner_search::target>
-    possible_owners(std::span<const service_tag> services, data_centre_id own,
+    possible_owners(std::span<const service_tag> services,
                     std::uint64_t flow_hash) const;
-    /// @brief Returns the hosts of a service that may receive new flows.
+    /// @brief Returns the followed hosts of a service that may receive new
+    /// flows; all of its hosts if none of the followed ones is reachable.
     std::vector<candidate> candidates(const directory& known,
-                                      service_id service, data_centre_id own,
-                                      time_point now) const;
+                                      service_id service, time_point now) const;
 
 private:
+    struct service_hosts;
+
     void forget_departed(time_point now);
+    void follow(peer& it, bool followed, time_point now);
+    std::size_t remote_count(const service_hosts& it) const;
+    void choose_remote(const service_hosts& here,
+                       std::unordered_set<machine_address>& chosen) const;
+    duration interval(const peer& it) const;
+    duration silence_timeout(const peer& it) const;
     bool is_reachable(const peer& it, time_point now) const;
+    std::optional<candidate> make_candidate(const directory::host& host,
+                                            time_point now) const;
 
     host_peer_options options_;
     std::unordered_map<machine_address, peer> peers_;
+    time_point selected_at_;
 };
 
 } // namespace arbutusport::relay
--- a/packages/core/src/relay/directory.cpp
+++ b/packages/core/src/relay/directory.cpp
@@ -30,7 +30,7 @@
     for (const host_key key : missing)
         remove_host(key, now);
     as_of_ = as_of;
-    update_digest();
+    update_derived();
     return true;
 }
 
@@ -43,7 +43,7 @@
             [&](const host_record& it) { apply_host(change.at, it, now); },
             [&](const host_removed& it) { remove_host(it.key, now); }},
         change.what);
-    update_digest();
+    update_derived();
 }
 
 void directory::advance(revision as_of) {
@@ -65,7 +65,7 @@
     std::erase_if(hosts_,
                   [&](const auto& it) { return !listed.contains(it.first); });
     as_of_ = view.as_of;
-    update_digest();
+    update_derived();
     return true;
 }
 
@@ -94,7 +94,7 @@
     const auto erased =
         std::erase_if(hosts_, [](const auto& it) { return it.second.lapsed; });
     if (erased != 0)
-        update_digest();
+        update_derived();
 }
 
 const route* directory::find_route(const endpoint& service) const {
@@ -136,11 +136,22 @@
            (regained_at_ && now - *regained_at_ < options_.lapse_grace_period);
 }
 
-void directory::update_digest() {
+const directory::host* directory::newest_at(std::uint32_t address) const {
+    const auto it = newest_by_address_.find(address);
+    return it == newest_by_address_.end() ? nullptr : &hosts_.at(it->second);
+}
+
+void directory::update_derived() {
     digest_ = hash_combine(0, routing_at_.value());
-    for (const auto& [key, it] : hosts_)
+    newest_by_address_.clear();
+    for (const auto& [key, it] : hosts_) {
         digest_ =
             hash_combine(digest_, hash_combine(key.value(), it.at.value()));
+        const auto [position, is_first] =
+            newest_by_address_.try_emplace(it.record.address.address, key);
+        if (!is_first && hosts_.at(position->second).at < it.at)
+            position->second = key;
+    }
 }
 
 } // namespace arbutusport::relay
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -198,12 +198,13 @@
 }
 
 void entry_relay::send_hellos(time_point now) {
-    for (const machine_address machine : peers_.take_due_hellos(now)) {
+    for (const machine_address machine :
+         peers_.take_due_hellos(directory_, now)) {
         hello it{.run = options_.run,
                  .data_centre = options_.data_centre,
                  .idle_timeout = directory_.idle_timeout(),
                  .wants_flows = !peers_.find(machine)->sent_flows};
-        const directory::host* host = registered_host(machine);
+        const directory::host* host = directory_.newest_at(machine.value());
         if (host != nullptr)
             it.host_started = host->record.started;
         if (!directory_.is_store_lost())
@@ -214,17 +215,6 @@
     }
 }
 
-// Returns the newest record at the machine, of any service.
-const directory::host*
-entry_relay::registered_host(machine_address machine) const {
-    const directory::host* newest = nullptr;
-    for (const auto& [key, it] : directory_.hosts())
-        if (it.record.address.address == machine.value() &&
-            (newest == nullptr || newest->at < it.at))
-            newest = &it;
-    return newest;
-}
-
 // Sends unanswered opening packets to further hosts.
 void entry_relay::hedge_openings(time_point now) {
     std::vector<flow_key> ended;
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -13,11 +13,17 @@
 // time.
 constexpr duration catch_up_time = std::chrono::milliseconds(300);
 
+host_peer_options make_peer_options(const entry_relay_options& options) {
+    host_peer_options out = options.peers;
+    out.data_centre = options.data_centre;
+    return out;
+}
+
 } // namespace
 
 entry_relay::entry_relay(entry_relay_options options, entry_relay_hooks hooks)
     : options_(std::move(options)), hooks_(std::move(hooks)),
-      directory_(options_.directory), peers_(options_.peers),
+      directory_(options_.directory), peers_(make_peer_options(options_)),
       entries_(
           {.run = options_.run,
            .self = options_.self,
@@ -192,9 +198,8 @@
                        std::span<const machine_address> tried,
                        time_point now) const {
     const auto hash = hash_of(flow);
-    const auto hosts = ranked_hosts(
-        peers_.candidates(directory_, service, options_.data_centre, now), hash,
-        options_.placement);
+    const auto hosts = ranked_hosts(peers_.candidates(directory_, service, now),
+                                    hash, options_.placement);
     return choose_host(hosts, tried, hash, options_.placement);
 }
 
@@ -262,8 +267,7 @@
     std::vector<service_tag> services;
     for (const weighted_service& it : flow_route->targets)
         services.push_back(make_service_tag(it.service));
-    return peers_.possible_owners(services, options_.data_centre,
-                                  hash_of(flow));
+    return peers_.possible_owners(services, hash_of(flow));
 }
 
 // Unless the directory is up to date with the store, it may lack a host that
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -3,6 +3,9 @@
 #include <arbutusport/relay/host_peers.hpp>
 
 #include <algorithm>
+#include <map>
+#include <set>
+#include <unordered_set>
 
 namespace arbutusport::relay {
 
@@ -10,23 +13,128 @@
 
 // Keeps a hello between entries within one Ethernet frame.
 constexpr std::size_t max_listed_departed = 64;
+// Reports of an earlier run of a process arrive late by at most this time.
+constexpr duration earlier_run_timeout = std::chrono::seconds(1);
 
 } // namespace
 
+// The hosts of one service, as far as the selection of followed ones needs
+// them.
+struct host_peers::service_hosts {
+    std::size_t total = 0;
+    std::size_t usable_near = 0;
+    double near_slots = 0;
+    double near_requests = 0;
+    // Hosts of other data centres that are not draining, by their rank.
+    std::map<std::uint64_t, machine_address> remote;
+    std::set<machine_address> unusable;
+    std::set<data_centre_id> data_centres;
+};
+
 void host_peers::update_from_directory(const directory& known, time_point now) {
     for (auto& [machine, it] : peers_)
         it.registered = false;
     for (const auto& [key, it] : known.hosts()) {
         const machine_address machine(it.record.address.address);
-        peer& one =
-            peers_.try_emplace(machine, peer{.known_since = now}).first->second;
+        peer& one = peers_
+                        .try_emplace(machine, peer{.followed = false,
+                                                   .known_since = now})
+                        .first->second;
         one.registered = true;
-        one.service = make_service_tag(it.record.service);
+        if (!one.has_reported)
+            one.service = make_service_tag(it.record.service);
         one.data_centre = it.record.data_centre;
     }
+    // A host serves its flows after its registration vanished, so its process
+    // is followed until it no longer answers.
+    for (auto& [machine, it] : peers_)
+        if (!it.registered)
+            follow(it, true, now);
+    select_followed(known, now);
     forget_departed(now);
 }
 
+void host_peers::follow(peer& it, bool followed, time_point now) {
+    if (it.followed == followed)
+        return;
+    it.followed = followed;
+    it.known_since = now;
+    it.hello_at = {};
+    // Figures of a process that is not followed become outdated.
+    it.has_reported = false;
+    it.sent_flows = false;
+    it.placed_since = 0;
+    it.unanswered = 0;
+}
+
+void host_peers::select_followed(const directory& known, time_point now) {
+    selected_at_ = now;
+    std::unordered_map<service_id, service_hosts> services;
+    for (const auto& [key, it] : known.hosts()) {
+        const machine_address machine(it.record.address.address);
+        const auto found = peers_.find(machine);
+        if (found == peers_.end())
+            continue;
+        const peer& one = found->second;
+        service_hosts& here = services[it.record.service];
+        ++here.total;
+        here.data_centres.insert(it.record.data_centre);
+        if (it.record.draining)
+            continue;
+        const bool usable = !one.followed || is_reachable(one, now);
+        if (it.record.data_centre != options_.data_centre) {
+            here.remote.emplace(
+                placement_rank(options_.data_centre.value(), machine), machine);
+            if (!usable)
+                here.unusable.insert(machine);
+        } else if (usable) {
+            ++here.usable_near;
+            here.near_slots += it.record.slots;
+            here.near_requests += std::max<double>(
+                one.report.outstanding, one.report.busy_milli / 1000.0);
+        }
+    }
+    std::unordered_set<machine_address> chosen;
+    for (const auto& [service, it] : services)
+        choose_remote(it, chosen);
+    for (auto& [machine, it] : peers_)
+        if (it.registered)
+            follow(it,
+                   it.data_centre == options_.data_centre ||
+                       chosen.contains(machine),
+                   now);
+}
+
+// Hosts that do not answer stay followed, so that their return is noticed.
+void host_peers::choose_remote(
+    const service_hosts& here,
+    std::unordered_set<machine_address>& chosen) const {
+    auto left = remote_count(here);
+    for (const auto& [rank, machine] : here.remote) {
+        if (left == 0)
+            return;
+        chosen.insert(machine);
+        if (!here.unusable.contains(machine))
+            --left;
+    }
+}
+
+// A data centre with fewer hosts than the others, or with busy ones, needs more
+// hosts elsewhere.
+std::size_t host_peers::remote_count(const service_hosts& it) const {
+    const std::size_t mean = it.total / it.data_centres.size();
+    const std::size_t missing =
+        mean > it.usable_near ? mean - it.usable_near : 0;
+    const double load =
+        it.near_slots > 0 ? it.near_requests / it.near_slots : 0;
+    const double share = std::clamp(
+        (load - options_.low_load) / (options_.high_load - options_.low_load),
+        0.0, 1.0);
+    return options_.remote_hosts + 2 * missing +
+           static_cast<std::size_t>(share *
+                                    static_cast<double>(it.remote.size()));
+}
+
 void host_peers::forget_departed(time_point now) {
     std::erase_if(peers_, [&](const auto& it) {
         const peer& one = it.second;
@@ -51,11 +159,14 @@
     return out;
 }
 
-std::vector<machine_address> host_peers::take_due_hellos(time_point now) {
+std::vector<machine_address> host_peers::take_due_hellos(const directory& known,
+                                                         time_point now) {
     forget_departed(now);
+    if (now - selected_at_ >= options_.selection_interval)
+        select_followed(known, now);
     std::vector<machine_address> due;
     for (auto& [machine, it] : peers_) {
-        if (now - it.hello_at < options_.hello_interval)
+        if (!it.followed || now - it.hello_at < interval(it))
             continue;
         it.hello_at = now;
         due.push_back(machine);
@@ -69,6 +180,12 @@
     if (it == peers_.end())
         return;
     peer& known = it->second;
+    // An earlier run's report may arrive late. A run may have a lower number
+    // than the one before it after a step of the clock.
+    if (!known.followed ||
+        (known.has_reported && report.run < known.report.run &&
+         now - known.heard_at < earlier_run_timeout))
+        return;
     if (known.has_reported && known.report.run != report.run)
         known.unanswered = 0;
     known.has_reported = true;
@@ -138,32 +255,47 @@
                : (now - it->heard_at) / std::chrono::milliseconds(1);
 }
 
+duration host_peers::interval(const peer& it) const {
+    const bool near = it.data_centre == options_.data_centre || !it.registered;
+    return near ? options_.hello_interval : options_.remote_hello_interval;
+}
+
+duration host_peers::silence_timeout(const peer& it) const {
+    return options_.silence_hellos * interval(it) + options_.answer_delay;
+}
+
 bool host_peers::is_isolated(time_point now) const {
-    return !peers_.empty() && std::ranges::all_of(peers_, [&](const auto& it) {
-        const peer& one = it.second;
-        const time_point since =
-            one.has_reported ? one.heard_at : one.known_since;
-        return now - since > options_.isolation_timeout;
-    });
+    bool follows_any = false;
+    for (const auto& [machine, it] : peers_) {
+        if (!it.followed)
+            continue;
+        follows_any = true;
+        const time_point since = it.has_reported ? it.heard_at : it.known_since;
+        if (now - since <=
+            options_.isolation_hellos * interval(it) + options_.answer_delay)
+            return false;
+    }
+    return follows_any;
 }
 
 bool host_peers::has_initial_reports(time_point now) const {
-    for (const auto& [machine, it] : peers_)
-        if (!it.has_reported && now - it.known_since < options_.silence_timeout)
-            return false;
-    return true;
+    return std::ranges::none_of(peers_, [&](const auto& it) {
+        const peer& one = it.second;
+        return one.followed && !one.has_reported &&
+               now - one.known_since < silence_timeout(one);
+    });
 }
 
 bool host_peers::is_reachable(const peer& it, time_point now) const {
     if (!it.has_reported)
-        return now - it.known_since < options_.silence_timeout;
+        return now - it.known_since < silence_timeout(it);
     return it.report.host == host_state::alive &&
-           now - it.heard_at < options_.silence_timeout;
+           now - it.heard_at < silence_timeout(it);
 }
 
 std::vector<owner_search::target>
 host_peers::possible_owners(std::span<const service_tag> services,
-                            data_centre_id own, std::uint64_t flow_hash) const {
+                            std::uint64_t flow_hash) const {
     std::vector<owner_search::target> out;
     std::vector<std::pair<std::uint64_t, machine_address>> likely_machines;
     for (const auto& [machine, it] : peers_) {
@@ -175,7 +307,8 @@
             std::ranges::find(services, it.service) != services.end();
         // A process that has sent its flows has announced this one if its host
         // owns it.
-        if (is_target_service && it.data_centre == own && !it.sent_flows)
+        if (is_target_service && it.data_centre == options_.data_centre &&
+            !it.sent_flows)
             likely_machines.emplace_back(placement_rank(flow_hash, machine),
                                          machine);
     }
@@ -193,38 +326,50 @@
 
 std::vector<candidate> host_peers::candidates(const directory& known,
                                               service_id service,
-                                              data_centre_id own,
                                               time_point now) const {
     std::vector<candidate> out;
+    std::vector<candidate> others;
     for (const auto& [key, host] : known.hosts()) {
-        const host_record& record = host.record;
-        if (record.service != service || record.draining)
+        if (host.record.service != service || host.record.draining)
             continue;
-        const machine_address machine(record.address.address);
-        const peer* known_peer = find(machine);
-        // The address is already used by another service.
-        if (known_peer != nullptr && known_peer->has_reported &&
-            known_peer->report.service != make_service_tag(service))
+        const auto it = make_candidate(host, now);
+        if (!it)
             continue;
-        candidate host_candidate{.machine = machine,
-                                 .local = record.data_centre == own,
-                                 .slots = record.slots,
-                                 .warming_up =
-                                     now - host.seen_at < record.warmup_left};
-        if (known_peer != nullptr) {
-            host_candidate.reachable = is_reachable(*known_peer, now);
-            host_candidate.busy = known_peer->report.busy_milli / 1000.0;
-            host_candidate.outstanding = known_peer->report.outstanding;
-            host_candidate.flows = known_peer->report.flows;
-            host_candidate.placed_since = known_peer->placed_since;
-            host_candidate.unanswered = known_peer->unanswered;
-        }
-        if (host.lapsed)
-            host_candidate.reachable = host_candidate.reachable &&
-                                       known_peer != nullptr &&
-                                       known_peer->has_reported;
-        out.push_back(host_candidate);
+        const peer* known_peer = find(it->machine);
+        const bool followed = known_peer == nullptr || known_peer->followed;
+        (followed ? out : others).push_back(*it);
+    }
+    if (std::ranges::none_of(out, &candidate::reachable))
+        out.insert(out.end(), others.begin(), others.end());
+    return out;
+}
+
+// Returns nothing if the address is already used by another service.
+std::optional<candidate> host_peers::make_candidate(const directory::host& host,
+                                                    time_point now) const {
+    const host_record& record = host.record;
+    const machine_address machine(record.address.address);
+    const peer* known = find(machine);
+    if (known != nullptr && known->has_reported &&
+        known->report.service != make_service_tag(record.service))
+        return std::nullopt;
+    candidate out{.machine = machine,
+                  .local = record.data_centre == options_.data_centre,
+                  .slots = record.slots,
+                  .warming_up = now - host.seen_at < record.warmup_left};
+    const bool has_reported = known != nullptr && known->has_reported;
+    if (known != nullptr) {
+        out.reachable = !known->followed || is_reachable(*known, now);
+        out.placed_since = known->placed_since;
+        out.unanswered = known->unanswered;
+    }
+    if (has_reported) {
+        out.busy = known->report.busy_milli / 1000.0;
+        out.outstanding = known->report.outstanding;
+        out.flows = known->report.flows;
     }
+    if (host.lapsed)
+        out.reachable = out.reachable && has_reported;
     return out;
 }
 
--- a/packages/testing/src/emulator/relay_fleet_test.cpp
+++ b/packages/testing/src/emulator/relay_fleet_test.cpp
@@ -1,10 +1,13 @@
-// Guards fleets of several data centres: who reads the store, and which changes
-// reach every entry.
+// Guards fleets of several data centres: which messages grow with the fleet,
+// who reads the store, and flows whose entry and host are in different data
+// centres.
 
 #include <arbutusport/emulator/relay_world.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cmath>
+
 namespace arbutusport::emulator {
 
 namespace {
@@ -18,10 +21,53 @@
 const relay_world_options large_world{
     .entries = 60, .hosts = 60, .data_centres = data_centres};
 
+std::string join_lines(const violations& it) {
+    std::string out;
+    for (const auto& one : it)
+        out += one + "\n";
+    return out;
+}
+
+// The number of messages and bytes per entry and second of each type at rest.
+using rates = std::map<std::string, std::pair<double, double>>;
+
+rates rates_at_rest(std::size_t entries, std::size_t hosts) {
+    constexpr std::size_t measured_seconds = 10;
+    relay_world world({.entries = entries, .hosts = hosts, .data_centres = 4});
+    world.run_until(startup_time);
+    const auto before = world.sent_messages();
+    world.run_for(seconds(measured_seconds));
+    rates out;
+    const auto per_entry =
+        1.0 / static_cast<double>(entries * measured_seconds);
+    for (const auto& [type, after] : world.sent_messages()) {
+        const auto known = before.find(type);
+        const path_counts from =
+            known == before.end() ? path_counts{} : known->second;
+        const auto add = [&](const char* path, const message_count& a,
+                             const message_count& b) {
+            out[type + path] = {
+                static_cast<double>(a.messages - b.messages) * per_entry,
+                static_cast<double>(a.bytes - b.bytes) * per_entry};
+        };
+        add(" within", after.within_data_centre, from.within_data_centre);
+        add(" between", after.between_data_centres, from.between_data_centres);
+    }
+    return out;
+}
+
+// Exponent with which a rate grows with the size of the fleet.
+double power(double small, double large, double size_ratio) {
+    return small == 0 || large == 0
+               ? 0
+               : std::log(large / small) / std::log(size_ratio);
+}
+
 } // namespace
 
 class relay_fleet_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(relay_fleet_test);
+    CPPUNIT_TEST(messages_at_rest_do_not_grow_with_the_fleet);
     CPPUNIT_TEST(the_reader_does_not_change_without_a_failure);
     CPPUNIT_TEST(a_killed_reader_is_replaced_within_two_seconds);
     CPPUNIT_TEST(an_isolated_reader_is_replaced_within_two_seconds);
@@ -29,9 +75,36 @@
     CPPUNIT_TEST(two_readers_of_a_data_centre_settle);
     CPPUNIT_TEST(a_change_reaches_every_entry);
     CPPUNIT_TEST(an_entry_that_ended_is_forgotten);
+    CPPUNIT_TEST(a_data_centre_without_hosts_opens_flows_elsewhere);
+    CPPUNIT_TEST(flows_survive_a_move_of_clients_to_another_data_centre);
+    CPPUNIT_TEST(flows_of_departed_remote_hosts_survive_restarted_entries);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Hellos and reports between all entries and all host processes were four
+    // fifths of the priced bytes between data centres (consulta-sul-large,
+    // quiet-1). Within a data centre an entry follows every host, so that only
+    // hellos and reports there may grow.
+    void messages_at_rest_do_not_grow_with_the_fleet() {
+        constexpr double size_ratio = 4;
+        constexpr double flat = 0.2;
+        constexpr double linear = 1.05;
+        const auto small = rates_at_rest(24, 48);
+        const auto large = rates_at_rest(96, 192);
+        for (const auto& [type, rate] : large) {
+            const auto known = small.find(type);
+            CPPUNIT_ASSERT_MESSAGE(type, known != small.end());
+            const bool follows_hosts =
+                type == "hello within" || type == "load_report within";
+            const double limit = follows_hosts ? linear : flat;
+            CPPUNIT_ASSERT_MESSAGE(type, power(known->second.first, rate.first,
+                                               size_ratio) <= limit);
+            CPPUNIT_ASSERT_MESSAGE(
+                type,
+                power(known->second.second, rate.second, size_ratio) <= limit);
+        }
+    }
+
     void the_reader_does_not_change_without_a_failure() {
         relay_world world(large_world);
         world.run_until(startup_time);
@@ -121,6 +194,91 @@
         world.run_for(seconds(10));
         CPPUNIT_ASSERT_EQUAL(before, world.traffic_of_entry(ended).messages);
     }
+
+    void a_data_centre_without_hosts_opens_flows_elsewhere() {
+        relay_world world(large_world);
+        world.run_until(startup_time);
+        for (std::size_t i = 0; i < large_world.hosts; i += data_centres) {
+            world.crash_host(i);
+            world.kill_host_process(i);
+        }
+        world.run_for(seconds(2));
+        std::vector<std::size_t> flows;
+        for (std::size_t i = 0; i < 200; ++i) {
+            flows.push_back(world.open_flow(data_centres * (i % 12)));
+            world.run_for(milliseconds(5));
+        }
+        world.run_for(seconds(1));
+        std::uint64_t most = 0;
+        for (std::size_t i = 0; i < large_world.hosts; ++i)
+            most = std::max(most, world.flows_placed_at(i));
+        for (const auto it : flows)
+            CPPUNIT_ASSERT(world.is_open(it));
+        // An even share of all remaining hosts is four flows; the hosts that
+        // the data centre follows in place of its own twelve get more.
+        CPPUNIT_ASSERT(most <= 200 / 12);
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             join_lines(world.found_violations()));
+    }
+
+    void flows_survive_a_move_of_clients_to_another_data_centre() {
+        relay_world world(large_world);
+        world.run_until(startup_time);
+        const auto flows = open_flows(world, 100, 0);
+        for (std::size_t entry = 1; entry < data_centres; ++entry) {
+            for (const auto it : flows) {
+                world.send_request(it, entry);
+                world.run_for(milliseconds(2));
+            }
+            world.run_for(milliseconds(500));
+        }
+        for (const auto it : flows)
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{data_centres - 1},
+                                 world.answers(it));
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             join_lines(world.found_violations()));
+    }
+
+    // An entry that does not follow a host must still find its flows when the
+    // host is no longer registered.
+    void flows_of_departed_remote_hosts_survive_restarted_entries() {
+        relay_world world(large_world);
+        world.run_until(startup_time);
+        const auto flows = open_flows(world, 100, 0);
+        for (std::size_t i = 0; i < large_world.hosts; i += data_centres)
+            world.drain_host(i);
+        world.run_for(seconds(1));
+        for (std::size_t i = 0; i < large_world.hosts; i += data_centres)
+            world.unregister_host(i);
+        world.run_for(seconds(4));
+        for (std::size_t entry = 1; entry < 4; ++entry) {
+            world.kill_entry(entry);
+            world.run_for(milliseconds(500));
+            world.start_entry(entry);
+            world.run_for(milliseconds(20));
+            for (const auto it : flows) {
+                world.send_request(it, entry);
+                world.run_for(milliseconds(2));
+            }
+            world.run_for(seconds(2));
+        }
+        for (const auto it : flows)
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, world.answers(it));
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             join_lines(world.found_violations()));
+    }
+
+private:
+    static std::vector<std::size_t>
+    open_flows(relay_world& world, std::size_t count, std::size_t entry) {
+        std::vector<std::size_t> out;
+        for (std::size_t i = 0; i < count; ++i) {
+            out.push_back(world.open_flow(entry));
+            world.run_for(milliseconds(5));
+        }
+        world.run_for(milliseconds(500));
+        return out;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(relay_fleet_test);
