Share a watch of the store among changes in quick succession

Cause: each watch that returns changes is a billed call, and a reader made five a second while hosts were replaced; an entry that had just started watched until it found the reader.

Random pauses come from the standard library.

--- a/packages/core/src/relay/store_reader.cpp
+++ b/packages/core/src/relay/store_reader.cpp
@@ -3,20 +3,46 @@
 #include <arbutusport/relay/store_reader.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace arbutusport::relay {
 
-store_call store_reader::next() {
+store_call store_reader::next(time_point now) {
     store_call it{.after = after_,
                   .wait = options_.watch_wait,
                   .pause = jittered(backoff_)};
-    if (listed_)
+    if (listed_) {
         it.what = store_call::kind::watch;
+        it.pause = std::max(it.pause, take_watch_pause(now));
+    }
     return it;
 }
 
+duration store_reader::take_watch_pause(time_point now) {
+    const auto earned = (now - counted_at_) / options_.watch_interval;
+    if (earned >= options_.watch_burst - watches_left_) {
+        watches_left_ = options_.watch_burst;
+        counted_at_ = now;
+    } else {
+        watches_left_ += static_cast<std::uint32_t>(earned);
+        counted_at_ += earned * options_.watch_interval;
+    }
+    const duration first = std::exchange(is_first_watch_, false)
+                               ? options_.first_watch_delay
+                               : duration::zero();
+    if (watches_left_ > 0) {
+        --watches_left_;
+        return first;
+    }
+    // Takes the next watch before it is earned.
+    const duration pause = counted_at_ + options_.watch_interval - now;
+    counted_at_ += options_.watch_interval;
+    return std::max(first, pause);
+}
+
 void store_reader::on_listing(revision as_of) {
     listed_ = true;
+    is_first_watch_ = true;
     after_ = as_of;
     backoff_ = {};
 }
@@ -48,15 +74,9 @@
 // Returns a random duration between half and all of `it`, so that processes
 // that failed at the same time do not retry at the same time.
 duration store_reader::jittered(duration it) {
-    // xorshift64 is random enough to spread calls.
-    random_ ^= random_ << 13U;
-    random_ ^= random_ >> 7U;
-    random_ ^= random_ << 17U;
-    const auto half = it.count() / 2;
-    if (half == 0)
-        return it;
-    return duration(half + static_cast<duration::rep>(
-                               random_ % static_cast<std::uint64_t>(half)));
+    std::uniform_int_distribution<duration::rep> pause(it.count() / 2,
+                                                       it.count());
+    return duration(pause(random_));
 }
 
 } // namespace arbutusport::relay
