Keep a flow from a reused port apart from the one before it

Cause: a host process took a packet of a new connection to another host for one of the connection that the client had abandoned, gave it to its host, and reset the client when the host returned it. An entry took a late announcement of the old connection for the answer to the new opening packet, and stopped sending it to further hosts.

Change: a host process returns packets whose acknowledgement belongs to another connection and keeps its flow; an entry ignores announcements of another connection while an opening packet is pending.

--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -77,6 +77,13 @@
     const auto* peer = peers_.find(from);
     if (peer == nullptr)
         return;
+    const auto open = openings_.find(owned.flow);
+    // The client has used its port again; the announced flow is the old one.
+    // A search means that the client's connection is already open.
+    if (open != openings_.end() &&
+        open->second.client_start != owned.client_start &&
+        !search_.active(owned.flow))
+        return;
     hint* known = hints_.find(owned.flow);
     if (known != nullptr && known->client_start == owned.client_start &&
         known->owner != from) {
@@ -91,7 +98,7 @@
                                 .host_start = owned.host_start});
     }
     peers_.on_answered(from);
-    if (const auto open = openings_.find(owned.flow); open != openings_.end()) {
+    if (open != openings_.end()) {
         hooks_.record_latency("flow_open", now - open->second.first_at);
         openings_.erase(open);
     }
--- a/packages/core/src/relay/entry_relay_test.cpp
+++ b/packages/core/src/relay/entry_relay_test.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST(the_host_that_the_client_acknowledges_gets_the_packets);
     CPPUNIT_TEST(a_retransmitted_opening_goes_to_the_accepting_host);
     CPPUNIT_TEST(no_flow_is_lost_by_an_outdated_directory);
+    CPPUNIT_TEST(a_late_announcement_does_not_end_the_opening_of_a_reused_port);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -131,6 +132,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resets_after(milliseconds(100)));
     }
 
+    // The old owner's announcement arrives after the client has used the port
+    // again; the opening must still be sent to a second host.
+    void a_late_announcement_does_not_end_the_opening_of_a_reused_port() {
+        fixture it;
+        it.client_sends(client_start + 7, 0, true, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.packets.size());
+        it.host_accepts(it.packets[0].to, 500'000, start + milliseconds(5));
+        it.entry.on_tick(start + milliseconds(80));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.packets.size());
+    }
+
 private:
     // Number of resets after denials from both host processes, if the last
     // hello of the reader arrived `silence` ago.
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -9,6 +9,9 @@
 // A client's first acknowledgement exceeds the initial sequence number of the
 // host that it uses by at most this much, even if its first packets were lost.
 constexpr std::uint32_t confirm_window = 1U << 16;
+// Acknowledgements of one connection differ by less, even if packets arrive
+// late. Two connections from the same port differ by more except by chance.
+constexpr std::uint32_t connection_window = 1U << 22;
 
 } // namespace
 
@@ -45,6 +48,15 @@
         erase(packet.flow, now);
         return;
     }
+    if (flow.confirmed && packet.ack &&
+        packet.acknowledged - flow.acknowledged + connection_window >
+            2 * connection_window) {
+        // The client has used its port again, for a connection to another
+        // host. The old flow is kept, because a single damaged packet must not
+        // end it.
+        reject_packet(from, packet, return_reason::unknown_flow);
+        return;
+    }
     if (packet.mark.kind == forwarding_mode::search)
         announce(packet.flow, flow, now, from);
     update_from_client(from, flow, packet, now);
--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -67,6 +67,9 @@
     /// @brief Opens a flow through the entry and returns its index. Only port
     /// 443 of the service address has a route.
     std::size_t open_flow(std::size_t entry, std::uint16_t service_port = 443);
+    /// @brief The client abandons the flow and opens another one from the same
+    /// port, through the entry.
+    void reuse_port(std::size_t flow, std::size_t entry);
     /// @brief Sends a request on a flow through the entry.
     void send_request(std::size_t flow, std::size_t entry);
 
@@ -177,6 +180,7 @@
     void retransmit(std::size_t flow, std::size_t entry, std::uint64_t request,
                     duration interval);
     std::size_t index_of(const flow_key& flow) const;
+    void send_openings(std::size_t flow, std::size_t entry);
 
     relay_world_options options_;
     duration now_{};
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -345,8 +345,22 @@
     it.client_initial_sequence = static_cast<std::uint32_t>(hash_of(it.key));
     it.entry = entry;
     flows_.push_back(it);
-    // Retransmits the SYN after 200 ms and 600 ms unless the flow was opened
-    // or reset.
+    send_openings(n, entry);
+    return n;
+}
+
+void relay_world::reuse_port(std::size_t flow, std::size_t entry) {
+    flow_state& it = flows_[flow];
+    it = {.key = it.key,
+          .client_initial_sequence = static_cast<std::uint32_t>(
+              hash_combine(it.client_initial_sequence, 1)),
+          .entry = entry};
+    send_openings(flow, entry);
+}
+
+// Retransmits the SYN after 200 ms and 600 ms unless the flow was opened or
+// reset.
+void relay_world::send_openings(std::size_t n, std::size_t entry) {
     std::uint32_t copy = 0;
     for (const duration delay :
          {duration{}, duration(milliseconds(200)), duration(milliseconds(600))})
@@ -359,7 +373,6 @@
                              .acknowledged = copy,
                              .syn = true});
         });
-    return n;
 }
 
 void relay_world::send_request(std::size_t flow, std::size_t entry) {
--- a/packages/testing/src/emulator/relay_world_test.cpp
+++ b/packages/testing/src/emulator/relay_world_test.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(draining_host_gets_no_flow);
     CPPUNIT_TEST(flows_survive_a_route_change);
     CPPUNIT_TEST(reused_address_gets_no_flow_of_the_old_service);
+    CPPUNIT_TEST(a_flow_from_a_reused_port_is_not_mixed_with_the_old_one);
     CPPUNIT_TEST(hosts_with_expired_registrations_keep_serving);
     CPPUNIT_TEST(entry_without_store_receives_the_directory_from_a_peer);
     CPPUNIT_TEST(one_entry_reads_for_its_data_centre);
@@ -352,6 +353,41 @@
                              join_lines(world.found_violations()));
     }
 
+    // A host keeps the flow that a client abandoned when it used the port
+    // again. The host process must not take packets of the new flow, which
+    // another host owns, for packets of the old one, and must not reset it.
+    void a_flow_from_a_reused_port_is_not_mixed_with_the_old_one() {
+        relay_world world({});
+        world.run_until(startup_time);
+        const auto flows = open_flows(world, 60);
+        send_all(world, flows, 0);
+        std::vector<std::size_t> old_owners;
+        for (const auto it : flows)
+            old_owners.push_back(world.owning_host(it));
+        // Draining hosts keep their flows, but receive no new ones.
+        for (const std::size_t host : {0U, 1U, 2U})
+            world.drain_host(host);
+        world.run_for(milliseconds(100));
+        for (const auto it : flows)
+            world.reuse_port(it, 1);
+        world.run_for(seconds(1));
+        std::size_t moved = 0;
+        for (std::size_t i = 0; i < flows.size(); ++i)
+            moved += world.owning_host(flows[i]) != old_owners[i] ? 1 : 0;
+        CPPUNIT_ASSERT(moved > 20);
+        // Both owners announce the flow to an entry that starts.
+        world.kill_entry(2);
+        world.run_for(milliseconds(500));
+        world.start_entry(2);
+        world.run_for(milliseconds(100));
+        send_all(world, flows, 2);
+        world.run_for(seconds(2));
+        for (const auto it : flows)
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.answers(it));
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             join_lines(world.found_violations()));
+    }
+
     // Registrations expire during a store outage while the hosts keep running.
     void hosts_with_expired_registrations_keep_serving() {
         relay_world world({});
