End the startup wait when entries that know departed hosts have answered

Cause: an entry that has just started concludes no search until every entry that it knows has answered, or for 400 ms.

Change: hellos state whether the sender has run long enough to know the departed hosts. The wait ends after two such answers; if at least three entries have answered and all have just started, after 150 ms.

Test: relay_fleet_test, which failed before (400 ms).

--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -41,6 +41,17 @@
     /// Upper limit of the wait for entries that have not answered yet; covers
     /// two repeated hellos and a busy process.
     duration max_startup_wait = std::chrono::milliseconds(400);
+    /// The wait ends early after answers from this many entries that have run
+    /// for longer.
+    std::size_t established_answers = 2;
+    /// If this many entries have answered, and all of them have just started
+    /// too, no entry can name a departed host; one that has run for longer
+    /// would have answered two hellos within this time.
+    std::size_t fresh_answers = 3;
+    duration fresh_fleet_wait = std::chrono::milliseconds(150);
+    /// After the wait, departed hosts that others named report within this
+    /// time.
+    duration departed_report_time = std::chrono::milliseconds(200);
     /// Further hosts that receive one opening packet without a retransmission
     /// by the client.
     std::size_t max_hedges = 2;
@@ -153,9 +164,10 @@
     event_input version_input() const;
     bool directory_is_current(time_point now) const;
     bool knows_all_hosts(time_point now) const;
+    bool has_heard_entries(time_point now) const;
     void hedge_openings(time_point now);
     void choose_reader(time_point now);
-    peer_entries::local_status local_status() const;
+    peer_entries::local_status local_status(time_point now);
     void send_hellos(time_point now);
 
     void on_report(machine_address from, const load_report& it, time_point now);
@@ -179,6 +191,8 @@
     std::optional<time_point> last_tick_;
     // When the first usable directory was received.
     std::optional<time_point> directory_at_;
+    // When the answers of other entries at the start sufficed.
+    std::optional<time_point> entries_heard_at_;
     time_point last_reread_at_;
     // True while this process reads the store for its data centre.
     bool reading_ = true;
--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -145,6 +145,9 @@
     /// data centre. Processes that predate this field send and accept only
     /// hellos without it; they drop others as an unknown type.
     std::optional<reader_announcement> reader;
+    /// The sender has run long enough to know every process whose host is no
+    /// longer registered. Sent only together with `reader`.
+    bool knows_departed = false;
 };
 
 /// @brief Requests the directory of another entry.
--- a/packages/core/include/arbutusport/relay/peer_entries.hpp
+++ b/packages/core/include/arbutusport/relay/peer_entries.hpp
@@ -66,6 +66,7 @@
         bool store_lost = false;
         bool reads_store = true;
         std::vector<departed_host> departed;
+        bool knows_departed = false;
     };
     using send_function = std::function<void(machine_address, const message&)>;
 
@@ -102,9 +103,14 @@
     /// longer than `limit`, and the own one has not changed in that time. Then
     /// reading the store makes no progress.
     bool is_stuck(const directory& known, duration limit, time_point now) const;
-    /// @brief True if every known entry has sent this process at least one
-    /// hello.
-    bool all_answered() const;
+    /// @brief The entries that have sent this process at least one hello.
+    struct answer_count {
+        std::size_t known = 0;
+        std::size_t answered = 0;
+        /// Those that know every process whose host is no longer registered.
+        std::size_t knowing_departed = 0;
+    };
+    answer_count count_answers() const;
 
 private:
     struct peer {
@@ -118,6 +124,7 @@
         std::uint64_t digest = 0;
         bool reads_store = false;
         bool answered = false;
+        bool knows_departed = false;
         // The peer's program sends hellos without a reader announcement.
         bool predates_announcements = false;
         std::uint32_t unanswered_hellos = 0;
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -42,7 +42,7 @@
             [&](const peer_hello& one) {
                 for (const departed_host& host : one.departed)
                     peers_.add_departed(host, now);
-                entries_.on_hello(from, one, local_status(), now);
+                entries_.on_hello(from, one, local_status(now), now);
             },
             [&](const directory_request&) {
                 entries_.on_request(from, directory_);
@@ -181,7 +181,7 @@
         on_directory_changed("lapsed", now);
     send_hellos(now);
     choose_reader(now);
-    entries_.on_tick(local_status(), now);
+    entries_.on_tick(local_status(now), now);
     if (reading_)
         entries_.push(directory_, now);
     if (reading_ && entries_.is_stuck(directory_, stuck_limit, now) &&
@@ -192,16 +192,21 @@
     hedge_openings(now);
     if (!reading_ && search_.pending_conclusions() > 0 &&
         !entries_.reader_agrees(directory_, now))
-        entries_.query_reader(local_status(), now);
+        entries_.query_reader(local_status(now), now);
     search_.on_tick(now);
 }
 
-peer_entries::local_status entry_relay::local_status() const {
+peer_entries::local_status entry_relay::local_status(time_point now) {
+    if (!entries_heard_at_ && has_heard_entries(now))
+        entries_heard_at_ = now;
     return {.known = directory_,
             .store_lost = directory_.is_store_lost(),
             .reads_store =
                 reading_ && entries_.is_elected() && !awaits_store_answer_,
-            .departed = peers_.departed()};
+            .departed = peers_.departed(),
+            .knows_departed =
+                entries_heard_at_ &&
+                now - *entries_heard_at_ >= options_.departed_report_time};
 }
 
 void entry_relay::send_hellos(time_point now) {
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -249,7 +249,7 @@
     const bool is_new = !search_.active(packet.flow);
     // A search may end without an owner only if the reader has the same hosts.
     if (!reading_)
-        entries_.query_reader(local_status(), now);
+        entries_.query_reader(local_status(now), now);
     if (!search_.add(packet, denied, now))
         report(
             {.name = "dropped", .reason = "search_full", .flow = packet.flow});
@@ -282,12 +282,21 @@
 // Hosts that are no longer registered are listed in the hellos of other
 // entries. An entry that has just started therefore waits for these hellos
 // before it concludes that no host owns a flow.
-bool entry_relay::knows_all_hosts(time_point now) const {
+bool entry_relay::has_heard_entries(time_point now) const {
     if (!directory_at_ || now - *directory_at_ < options_.min_startup_wait)
         return false;
-    const bool wait_is_over = entries_.all_answered() ||
-                              now - *directory_at_ >= options_.max_startup_wait;
-    return wait_is_over && directory_is_current(now);
+    const duration waited = now - *directory_at_;
+    if (entries_heard_at_ || waited >= options_.max_startup_wait)
+        return true;
+    const auto it = entries_.count_answers();
+    return it.answered == it.known ||
+           it.knowing_departed >= options_.established_answers ||
+           (it.knowing_departed == 0 && it.answered >= options_.fresh_answers &&
+            waited >= options_.fresh_fleet_wait);
+}
+
+bool entry_relay::knows_all_hosts(time_point now) const {
+    return has_heard_entries(now) && directory_is_current(now);
 }
 
 void entry_relay::reset_unowned_flow(const owner_search::conclusion& it) {
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -21,7 +21,7 @@
     peer_hello,
     directory_request,
     directory_part,
-    // A peer_hello followed by a reader_announcement.
+    // A peer_hello followed by a reader_announcement and a flag.
     peer_hello_with_reader,
 };
 
@@ -172,6 +172,7 @@
         out.put(it.reader->reader.value());
         out.put(it.reader->run.value());
         out.put(it.reader->count);
+        put_flag(out, it.knows_departed);
     }
 }
 
@@ -256,6 +257,7 @@
     it.reader->reader = machine_address(in.take<std::uint32_t>());
     it.reader->run = incarnation(in.take<std::uint64_t>());
     it.reader->count = in.take<std::uint64_t>();
+    it.knows_departed = take_flag(in);
     return it;
 }
 
--- a/packages/core/src/relay/peer_entries.cpp
+++ b/packages/core/src/relay/peer_entries.cpp
@@ -74,9 +74,13 @@
             send_hello(machine, it, hello);
 }
 
-bool peer_entries::all_answered() const {
-    return std::ranges::all_of(
-        peers_, [](const auto& it) { return it.second.answered; });
+peer_entries::answer_count peer_entries::count_answers() const {
+    answer_count out{.known = peers_.size()};
+    for (const auto& [machine, it] : peers_) {
+        out.answered += it.answered ? 1 : 0;
+        out.knowing_departed += it.answered && it.knows_departed ? 1 : 0;
+    }
+    return out;
 }
 
 reader_election::standing peer_entries::own_standing(time_point now) const {
@@ -208,6 +212,7 @@
     sender.digest = hello.digest;
     sender.reads_store = hello.reads_store;
     sender.predates_announcements = !hello.reader;
+    sender.knows_departed = hello.knows_departed;
     sender.unanswered_hellos = 0;
     if (hello.data_centre == options_.data_centre)
         on_reader_state(from, hello, now);
@@ -429,7 +434,8 @@
                      .is_reply = is_reply,
                      .entries = recently_heard(now),
                      .departed = own.departed,
-                     .reader = reader_announcement{}};
+                     .reader = reader_announcement{},
+                     .knows_departed = own.knows_departed};
     if (hello.reads_store)
         hello.reader = {options_.self, options_.run, announcements_};
     else if (election_.has_reader(own_standing(now), now))
--- a/packages/testing/src/emulator/relay_fleet_test.cpp
+++ b/packages/testing/src/emulator/relay_fleet_test.cpp
@@ -78,6 +78,7 @@
     CPPUNIT_TEST(a_data_centre_without_hosts_opens_flows_elsewhere);
     CPPUNIT_TEST(flows_survive_a_move_of_clients_to_another_data_centre);
     CPPUNIT_TEST(flows_of_departed_remote_hosts_survive_restarted_entries);
+    CPPUNIT_TEST(flows_are_reset_soon_after_a_power_loss_of_a_large_fleet);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -268,6 +269,39 @@
                              join_lines(world.found_violations()));
     }
 
+    // Every entry waited 400 ms for entries that started later than itself, and
+    // clients for their resets (consulta-sul-large, trouble-1).
+    void flows_are_reset_soon_after_a_power_loss_of_a_large_fleet() {
+        relay_world world(large_world);
+        world.run_until(startup_time);
+        const auto flows = open_flows(world, 20, 0);
+        for (std::size_t i = 0; i < large_world.entries; ++i)
+            world.kill_entry(i);
+        for (std::size_t i = 0; i < large_world.hosts; ++i) {
+            world.kill_host_process(i);
+            world.crash_host(i);
+        }
+        world.run_for(milliseconds(540));
+        for (std::size_t i = 0; i < large_world.hosts; ++i) {
+            world.boot_host(i);
+            world.start_host_process(i);
+        }
+        // The last entries, among them the seed, start 300 ms after the first.
+        constexpr std::size_t receiver = 5;
+        for (std::size_t i = 1; i < large_world.entries; ++i) {
+            world.start_entry(i);
+            world.run_for(milliseconds(i < 40 ? 1 : 13));
+            if (i == 49)
+                for (const auto it : flows)
+                    world.send_request(it, receiver);
+        }
+        world.start_entry(0);
+        for (const auto it : flows)
+            CPPUNIT_ASSERT(world.is_reset(it));
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             join_lines(world.found_violations()));
+    }
+
 private:
     static std::vector<std::size_t>
     open_flows(relay_world& world, std::size_t count, std::size_t entry) {
