--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -117,6 +117,8 @@
     /// process.
     bool is_ready(time_point now) const;
     const directory& known() const { return directory_; }
+    /// @brief Whether the machine is in the own data centre; empty if unknown.
+    std::optional<bool> is_near(machine_address machine) const;
     std::size_t hints() const { return hints_.size(); }
 
 private:
--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -84,6 +84,8 @@
 
     host_state state() const { return state_; }
     std::size_t flows() const { return flows_.size(); }
+    /// @brief The data centre of an entry; 0 if unknown.
+    data_centre_id data_centre_of(machine_address entry) const;
 
 private:
     struct flow_state {
@@ -145,7 +147,6 @@
     owned_flows make_owned_flows() const;
     void send_flows(machine_address to, data_centre_id data_centre,
                     time_point now);
-    data_centre_id data_centre_of(machine_address entry) const;
 
     host_relay_options options_;
     host_relay_hooks hooks_;
--- a/packages/core/include/arbutusport/relay/peer_entries.hpp
+++ b/packages/core/include/arbutusport/relay/peer_entries.hpp
@@ -111,6 +111,8 @@
         std::size_t knowing_departed = 0;
     };
     answer_count count_answers() const;
+    /// @brief The data centre of an entry; 0 if unknown.
+    data_centre_id data_centre_of(machine_address machine) const;
 
 private:
     struct peer {
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -316,6 +316,14 @@
              {"as_of", static_cast<std::int64_t>(directory_.as_of().value())}}};
 }
 
+std::optional<bool> entry_relay::is_near(machine_address machine) const {
+    data_centre_id at = entries_.data_centre_of(machine);
+    if (const auto* host = peers_.find(machine))
+        at = host->data_centre;
+    return at == data_centre_id() ? std::nullopt
+                                  : std::optional(at == options_.data_centre);
+}
+
 bool entry_relay::is_known_machine(machine_address machine) const {
     return peers_.find(machine) != nullptr;
 }
--- a/packages/core/src/relay/peer_entries.cpp
+++ b/packages/core/src/relay/peer_entries.cpp
@@ -83,6 +83,11 @@
     return out;
 }
 
+data_centre_id peer_entries::data_centre_of(machine_address machine) const {
+    const auto it = peers_.find(machine);
+    return it == peers_.end() ? data_centre_id() : it->second.data_centre;
+}
+
 reader_election::standing peer_entries::own_standing(time_point now) const {
     reader_election::standing out;
     const auto& reader = election_.reader();
