Send packets of unknown flows to uncertain processes by stages

Cause: after a restart of all processes no host process can tell whether its host has a flow that opened before.

Change: a process that does not know all flows stays a likely owner. Others that cannot tell get the packet only when those that have it denied the flow or 0.175 s have passed, first in the own data centre, then elsewhere.

Tests: owner_search_test, two new ones.

--- a/packages/core/include/arbutusport/relay/owner_search.hpp
+++ b/packages/core/include/arbutusport/relay/owner_search.hpp
@@ -2,9 +2,11 @@
 // packet is sent to the few host processes where the flow was most likely
 // placed. The owner's process delivers it and answers; each other process sends
 // a denial: its host does not own the flow. Then all remaining processes
-// receive a short query that covers many flows. A flow never moves to another
-// host, so a denial is final and its sender is not queried again. After denials
-// from all processes, no host owns the flow.
+// receive a short query that covers many flows. A process that cannot tell gets
+// the packet, those of the own data centre first, since a packet is much larger
+// than a query. A flow never moves to another host, so a denial is final and
+// its sender is not queried again. After denials from all processes, no host
+// owns the flow.
 #pragma once
 
 #include <arbutusport/relay/byte_budget.hpp>
@@ -28,6 +30,10 @@
     /// Processes that have not answered are queried again after this time. A
     /// round trip between data centres takes about 15 ms.
     duration retry_interval = std::chrono::milliseconds(150);
+    /// Wait for the processes that received the packet, before processes that
+    /// cannot tell receive it too. Covers a request's work at its host; a host
+    /// without the flow returns the packet at once.
+    duration probe_timeout = std::chrono::milliseconds(175);
     /// Time between the last denial and the conclusion, so that hosts and
     /// owners announced in between are taken into account. A message between
     /// data centres takes 6 ms.
@@ -55,6 +61,8 @@
         service_tag service;
         /// One of the hosts where the flow was most likely placed.
         bool likely = false;
+        /// In the own data centre.
+        bool near = true;
     };
 
     /// @brief Outcome of a search after denials from all processes whose host
@@ -131,6 +139,9 @@
         std::unordered_set<machine_address> denied;
         // Machines that were sent `probe_packet`.
         std::unordered_set<machine_address> probed;
+        time_point probed_at;
+        // Machines that cannot tell and have not been sent `probe_packet`.
+        std::unordered_set<machine_address> uncertain;
         bytes probe_packet;
         // Packets that arrived after `probe_packet`, in order.
         std::vector<bytes> queued_packets;
@@ -141,7 +152,8 @@
                              time_point now);
     void query_all(const flow_key& flow, search& state,
                    const std::vector<target>& targets, time_point now);
-    void send_probe(search& state, const target& one, time_point now);
+    bool send_probe(search& state, const target& one, time_point now);
+    void probe_uncertain(const flow_key& flow, search& state, time_point now);
     std::vector<target> remaining_targets(const flow_key& flow,
                                           const search& state) const;
     void wait_for_conclusion(const flow_key& flow, search& state,
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -302,13 +302,17 @@
         const bool dead = it.has_reported && it.report.host == host_state::dead;
         if (dead)
             continue;
-        out.push_back({machine, it.service});
+        const bool near = it.data_centre == options_.data_centre ||
+                          it.data_centre == data_centre_id();
+        out.push_back(
+            {.machine = machine, .service = it.service, .near = near});
         const bool is_target_service =
             std::ranges::find(services, it.service) != services.end();
-        // A process that has sent its flows has announced this one if its host
-        // owns it.
+        // A process that has sent its flows and knows all of them has announced
+        // this one if its host owns it.
+        const bool has_announced = it.sent_flows && it.report.knows_all_flows;
         if (is_target_service && it.data_centre == options_.data_centre &&
-            !it.sent_flows)
+            !has_announced)
             likely_machines.emplace_back(placement_rank(flow_hash, machine),
                                          machine);
     }
--- a/packages/core/src/relay/owner_search.cpp
+++ b/packages/core/src/relay/owner_search.cpp
@@ -12,6 +12,9 @@
 constexpr std::size_t datagram_overhead = 28;
 // Encoded size of one flow in a query.
 constexpr std::size_t query_bytes = 12;
+// From this round on, a process that cannot tell gets the packet again, which
+// may have been lost.
+constexpr std::uint32_t repeated_probe_round = 3;
 
 } // namespace
 
@@ -39,6 +42,7 @@
     state.started_at = now;
     state.probe_packet.assign(packet.datagram.begin(), packet.datagram.end());
     state.probed.clear();
+    state.uncertain.clear();
     state.queued_packets.clear();
     state.rounds = 0;
     start_round(packet.flow, state, now);
@@ -81,12 +85,36 @@
         queries_[one.machine].push_back(flow);
 }
 
-void owner_search::send_probe(search& state, const target& one,
+bool owner_search::send_probe(search& state, const target& one,
                               time_point now) {
     if (!budget_.try_take(state.probe_packet.size() + datagram_overhead, now))
-        return;
+        return false;
     state.probed.insert(one.machine);
+    state.probed_at = now;
     hooks_.send(one, state.probe_packet);
+    return true;
+}
+
+// Sends the packet to uncertain processes, unless one that has it may still be
+// the owner.
+void owner_search::probe_uncertain(const flow_key& flow, search& state,
+                                   time_point now) {
+    if (state.uncertain.empty())
+        return;
+    const bool any_undecided =
+        std::ranges::any_of(state.probed, [&](machine_address it) {
+            return !state.denied.contains(it);
+        });
+    if (any_undecided && now - state.probed_at < options_.probe_timeout)
+        return;
+    auto targets = remaining_targets(flow, state);
+    std::erase_if(targets, [&](const target& one) {
+        return !state.uncertain.contains(one.machine);
+    });
+    const bool any_near = std::ranges::any_of(targets, &target::near);
+    for (const target& one : targets)
+        if (one.near == any_near && send_probe(state, one, now))
+            state.uncertain.erase(one.machine);
 }
 
 std::vector<owner_search::target>
@@ -149,6 +177,8 @@
         wait_for_conclusion(flow, state, now);
     else if (!state.queried_all && std::ranges::none_of(left, likely))
         query_all(flow, state, left, now);
+    else
+        probe_uncertain(flow, state, now);
 }
 
 void owner_search::on_uncertain(machine_address from, const flow_key& flow,
@@ -156,9 +186,12 @@
     const auto known = searches_.find(flow);
     if (known == searches_.end())
         return;
-    for (const target& one : remaining_targets(flow, known->second))
-        if (one.machine == from)
-            send_probe(known->second, one, now);
+    search& state = known->second;
+    if (state.denied.contains(from) ||
+        (state.probed.contains(from) && state.rounds < repeated_probe_round))
+        return;
+    state.uncertain.insert(from);
+    probe_uncertain(flow, state, now);
 }
 
 std::optional<time_point> owner_search::started_at(const flow_key& flow) const {
@@ -184,9 +217,11 @@
 void owner_search::on_tick(time_point now) {
     const bool can_conclude = hooks_.can_conclude(now);
     std::vector<flow_key> due;
-    for (const auto& [flow, state] : searches_)
+    for (auto& [flow, state] : searches_) {
+        probe_uncertain(flow, state, now);
         if (now >= state.due)
             due.push_back(flow);
+    }
     for (const flow_key& flow : due) {
         search& state = searches_.at(flow);
         if (now - state.used_at > options_.retention_time)
--- a/packages/core/src/relay/owner_search_test.cpp
+++ b/packages/core/src/relay/owner_search_test.cpp
@@ -80,6 +80,8 @@
     CPPUNIT_TEST(pending_conclusions_stay_bounded_in_a_long_outage);
     CPPUNIT_TEST(many_flows_share_a_query);
     CPPUNIT_TEST(an_uncertain_process_gets_the_packet);
+    CPPUNIT_TEST(uncertain_processes_wait_for_those_that_have_the_packet);
+    CPPUNIT_TEST(near_uncertain_processes_get_the_packet_first);
     CPPUNIT_TEST(the_owner_gets_only_packets_not_sent_to_it_yet);
     CPPUNIT_TEST(a_thousand_unknown_flows_stay_within_the_budget);
     CPPUNIT_TEST_SUITE_END();
@@ -207,6 +209,42 @@
                        std::vector<machine_address>{machine_address(2)});
     }
 
+    // After a restart of all processes no host process could tell, and each
+    // packet went to every one of them: 0.1 GB between data centres in 15 s
+    // (consulta-sul-large, trouble-3).
+    void uncertain_processes_wait_for_those_that_have_the_packet() {
+        fixture it(20, 2);
+        it.add(1, start);
+        it.search.on_tick(start + milliseconds(80));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, it.queried.size());
+        for (std::uint32_t i = 1; i <= 20; ++i)
+            it.search.on_uncertain(machine_address(i), flow_number(1),
+                                   start + milliseconds(90));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.probed.size());
+        it.search.on_tick(start + milliseconds(170));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.probed.size());
+        it.search.on_tick(start + milliseconds(180));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, it.probed.size());
+    }
+
+    void near_uncertain_processes_get_the_packet_first() {
+        fixture it(20, 2);
+        for (std::size_t i = 10; i < 20; ++i)
+            it.targets[i].near = false;
+        it.add(1, start);
+        it.search.on_tick(start + milliseconds(80));
+        for (std::uint32_t i = 3; i <= 20; ++i)
+            it.search.on_uncertain(machine_address(i), flow_number(1),
+                                   start + milliseconds(90));
+        for (const std::uint32_t i : {1U, 2U})
+            it.deny(i, 1, start + milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{10}, it.probed.size());
+        // As soon as all of these have denied, the others get it.
+        for (std::uint32_t i = 3; i <= 10; ++i)
+            it.deny(i, 1, start + milliseconds(110));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, it.probed.size());
+    }
+
     void the_owner_gets_only_packets_not_sent_to_it_yet() {
         fixture it(2, 1);
         it.add(1, start);
