Announce the planned stop of a host process

Cause: a host process ended at once when it was told to stop; requests that its host had just accepted lost their packets until its next run.

Test: relay_world_test planned_stop_of_a_host_process_cuts_no_new_flow.

--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -82,6 +82,10 @@
     /// flows.
     void on_host_refused(time_point now);
 
+    /// @brief Announces that this process is about to end: entries place new
+    /// flows elsewhere. It serves its flows as before.
+    void begin_stop(time_point now);
+
     host_state state() const { return state_; }
     std::size_t flows() const { return flows_.size(); }
     /// @brief The data centre of an entry; 0 if unknown.
@@ -142,6 +146,7 @@
     void set_busy(flow_state& it, bool busy, time_point now);
     bool knows_all_flows(time_point now) const;
     load_report make_report(time_point now);
+    void send_report_to_all(time_point now);
     std::vector<machine_address> next_listed_entries(entry& recipient,
                                                      time_point now);
     owned_flows make_owned_flows() const;
@@ -155,6 +160,7 @@
     std::map<machine_address, entry> entries_;
     load_meter load_;
     host_state state_ = host_state::alive;
+    bool is_stopping_ = false;
     // The last registration that entries reported, and when it arrived.
     registration registration_ = registration::unknown;
     time_point registered_at_;
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -157,7 +157,9 @@
 load_report host_relay::make_report(time_point now) {
     return {.run = options_.run,
             .service = options_.service,
-            .host = state_,
+            .host = is_stopping_ && state_ == host_state::alive
+                        ? host_state::listener_closed
+                        : state_,
             .knows_all_flows = knows_all_flows(now),
             .outstanding = load_.outstanding(),
             .busy_milli = static_cast<std::uint32_t>(
@@ -165,6 +167,12 @@
             .flows = static_cast<std::uint32_t>(flows_.size())};
 }
 
+void host_relay::send_report_to_all(time_point now) {
+    const message report = make_report(now);
+    for (const auto& [machine, one] : entries_)
+        hooks_.send(machine, report);
+}
+
 // Lists the entries of the recipient's data centre in turn, so that they find
 // one another.
 std::vector<machine_address> host_relay::next_listed_entries(entry& recipient,
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -287,9 +287,14 @@
                            : new_state == host_state::listener_closed
                                ? "host_leaving"
                                : "host_dead"});
-    const message report = make_report(now);
-    for (const auto& [machine, one] : entries_)
-        hooks_.send(machine, report);
+    send_report_to_all(now);
+}
+
+// Packets that are delivered while no process runs are lost, so the fewer
+// requests have just started the better.
+void host_relay::begin_stop(time_point now) {
+    is_stopping_ = true;
+    send_report_to_all(now);
 }
 
 void host_relay::deliver(machine_address via, const segment& packet,
--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -87,6 +87,8 @@
     void set_entry_isolated(std::size_t entry, bool isolated);
     void kill_host_process(std::size_t host);
     void start_host_process(std::size_t host);
+    /// @brief The host process announces that it is about to end.
+    void begin_stop_of_host_process(std::size_t host);
     /// @brief The host loses its flows and stops listening.
     void crash_host(std::size_t host);
     /// @brief Boots the host anew and registers it at once.
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -175,6 +175,10 @@
         hooks, time());
 }
 
+void relay_world::begin_stop_of_host_process(std::size_t host) {
+    hosts_[host]->process->begin_stop(time());
+}
+
 void relay_world::kill_host_process(std::size_t host) {
     hosts_[host]->process.reset();
 }
--- a/packages/testing/src/emulator/relay_world_test.cpp
+++ b/packages/testing/src/emulator/relay_world_test.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(unregistered_host_keeps_flows_at_a_restarted_entry);
     CPPUNIT_TEST(unanswered_packet_does_not_imply_flow_ownership);
     CPPUNIT_TEST(draining_host_gets_no_flow);
+    CPPUNIT_TEST(planned_stop_of_a_host_process_cuts_no_new_flow);
     CPPUNIT_TEST(flows_survive_a_route_change);
     CPPUNIT_TEST(reused_address_gets_no_flow_of_the_old_service);
     CPPUNIT_TEST(a_flow_from_a_reused_port_is_not_mixed_with_the_old_one);
@@ -321,6 +322,32 @@
         CPPUNIT_ASSERT_EQUAL(before, world.flows_placed_at(1));
     }
 
+    // Requests that had just been accepted lost their packets when the process
+    // beside the host ended at once.
+    void planned_stop_of_a_host_process_cuts_no_new_flow() {
+        relay_world world({});
+        world.run_until(startup_time);
+        const auto flows = open_flows(world, 60);
+        world.begin_stop_of_host_process(1);
+        world.run_for(milliseconds(20));
+        const auto before = world.flows_placed_at(1);
+        send_all(world, flows, 0);
+        const auto later = open_flows(world, 60);
+        CPPUNIT_ASSERT_EQUAL(before, world.flows_placed_at(1));
+        for (const auto it : flows)
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.answers(it));
+        for (const auto it : later)
+            CPPUNIT_ASSERT(world.is_open(it));
+        // The next run of the process gets new flows.
+        world.kill_host_process(1);
+        world.start_host_process(1);
+        world.run_for(seconds(1));
+        open_flows(world, 60);
+        CPPUNIT_ASSERT(world.flows_placed_at(1) > before);
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             join_lines(world.found_violations()));
+    }
+
     // Guards against resets after a change of weights: the search queried only
     // hosts of services in the current route. Found in random scenarios of
     // consulta-sul (mix, seed 954212542912; configuration_storm, seed
