Treat a refused connection as a crash only if the host answers no packet

Cause: a draining host closed its listener 40 ms after it had registered as draining. The shared watches made the delay longer, but it was there before: an entry sends a hello only each 400 ms.

Change: after a refused connection a host counts as dead when it reacts to no packet for 200 ms (400 ms if it is not registered as ready). A changed registration is passed on to the host process at once.

--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -58,6 +58,7 @@
 public:
     struct peer {
         bool registered = true;
+        bool draining = false;
         /// Hellos are sent to the process.
         bool followed = true;
         /// The process has reported since it is followed.
--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -41,7 +41,10 @@
     /// counts as unknown; hellos arrive every 400 ms.
     duration registration_timeout = std::chrono::milliseconds(1500);
     /// A host that accepts no connections and answers no packet for this long
-    /// counts as dead.
+    /// counts as dead: if it is registered as ready, and otherwise. A host
+    /// closes its listener soon after it registered as draining, before this
+    /// process can know that.
+    duration crash_timeout = std::chrono::milliseconds(200);
     duration closed_listener_timeout = std::chrono::milliseconds(400);
     /// An entry that sends nothing for this long receives no more
     /// announcements.
@@ -76,10 +79,9 @@
 
     /// @brief Must be called when the host accepts connections.
     void on_host_accepted(time_point now);
-    /// @brief Must be called when no socket listens at the host's address. A
-    /// host that was not draining has crashed and its flows are lost. A
-    /// draining host may have closed its listener while it still serves its
-    /// flows.
+    /// @brief Must be called when no socket listens at the host's address. The
+    /// host has crashed, or it drains and still serves its flows: then it
+    /// reacts to packets.
     void on_host_refused(time_point now);
 
     /// @brief Announces that this process is about to end: entries place new
@@ -140,6 +142,7 @@
                   machine_address additional_entry = {});
     void on_query(machine_address from, const flow_query& it, time_point now);
     void on_registration(registration it, time_point now);
+    bool is_registered_ready(time_point now) const;
     void set_state(host_state new_state, time_point now);
     void end_all_flows(time_point now);
     void deliver(machine_address via, const segment& packet, time_point now);
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -80,9 +80,16 @@
     registered_at_ = now;
 }
 
+bool host_relay::is_registered_ready(time_point now) const {
+    return registration_ == registration::ready &&
+           now - registered_at_ < options_.registration_timeout;
+}
+
 void host_relay::on_tick(time_point now) {
-    if (unanswered_since_ &&
-        now - *unanswered_since_ > options_.closed_listener_timeout)
+    const duration limit = is_registered_ready(now)
+                               ? options_.crash_timeout
+                               : options_.closed_listener_timeout;
+    if (unanswered_since_ && now - *unanswered_since_ > limit)
         end_all_flows(now);
     // A host that does not react to a packet may own the flow or may have
     // ended; only packets from the host decide.
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <unordered_set>
+#include <utility>
 
 namespace arbutusport::relay {
 
@@ -36,6 +37,9 @@
         it.registered = false;
     for (const auto& [key, it] : known.hosts()) {
         const machine_address machine(it.record.address.address);
+        // One record for each machine decides.
+        if (known.newest_at(machine.value()) != &it)
+            continue;
         peer& one = peers_
                         .try_emplace(machine, peer{.followed = false,
                                                    .known_since = now})
@@ -44,6 +48,10 @@
         if (!one.has_reported)
             one.service = make_service_tag(it.record.service);
         one.data_centre = it.record.data_centre;
+        // The host process must know soon that its host may close its listener.
+        if (std::exchange(one.draining, it.record.draining) !=
+            it.record.draining)
+            one.hello_at = {};
     }
     // A host serves its flows after its registration vanished, so its process
     // is followed until it no longer answers.
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -246,12 +246,9 @@
 }
 
 void host_relay::on_host_refused(time_point now) {
-    const bool registered =
-        registration_ == registration::ready &&
-        now - registered_at_ < options_.registration_timeout;
     if (state_ != host_state::alive)
         return;
-    if (registered || flows_.empty())
+    if (flows_.empty())
         end_all_flows(now);
     else
         set_state(host_state::listener_closed, now);
