--- a/packages/testing/src/emulator/relay_fleet_test.cpp
+++ b/packages/testing/src/emulator/relay_fleet_test.cpp
@@ -2,7 +2,7 @@
 // who reads the store, and flows whose entry and host are in different data
 // centres.
 
-#include <arbutusport/emulator/relay_world.hpp>
+#include "relay_world_flows.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -21,13 +21,6 @@
 const relay_world_options large_world{
     .entries = 60, .hosts = 60, .data_centres = data_centres};
 
-std::string join_lines(const violations& it) {
-    std::string out;
-    for (const auto& one : it)
-        out += one + "\n";
-    return out;
-}
-
 // The number of messages and bytes per entry and second of each type at rest.
 using rates = std::map<std::string, std::pair<double, double>>;
 
@@ -175,10 +168,8 @@
         world.drain_host(3);
         world.run_for(milliseconds(100));
         for (std::size_t i = 0; i < large_world.entries; ++i) {
-            std::size_t draining = 0;
-            for (const auto& [key, it] : world.directory_of(i).hosts())
-                draining += it.record.draining ? 1 : 0;
-            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, draining);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                                 count_draining_hosts(world, i));
         }
         // One answer for each reader.
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{data_centres},
@@ -218,10 +209,8 @@
         // some requests are lost.
         world.run_for(seconds(4));
         for (std::size_t i = 0; i < large_world.entries; ++i) {
-            std::size_t draining = 0;
-            for (const auto& [key, it] : world.directory_of(i).hosts())
-                draining += it.record.draining ? 1 : 0;
-            CPPUNIT_ASSERT_EQUAL(std::size_t{10}, draining);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{10},
+                                 count_draining_hosts(world, i));
         }
     }
 
@@ -267,12 +256,9 @@
     void flows_survive_a_move_of_clients_to_another_data_centre() {
         relay_world world(large_world);
         world.run_until(startup_time);
-        const auto flows = open_flows(world, 100, 0);
+        const auto flows = open_flows(world, 100, 1);
         for (std::size_t entry = 1; entry < data_centres; ++entry) {
-            for (const auto it : flows) {
-                world.send_request(it, entry);
-                world.run_for(milliseconds(2));
-            }
+            send_all(world, flows, entry);
             world.run_for(milliseconds(500));
         }
         for (const auto it : flows)
@@ -287,7 +273,7 @@
     void flows_of_departed_remote_hosts_survive_restarted_entries() {
         relay_world world(large_world);
         world.run_until(startup_time);
-        const auto flows = open_flows(world, 100, 0);
+        const auto flows = open_flows(world, 100, 1);
         for (std::size_t i = 0; i < large_world.hosts; i += data_centres)
             world.drain_host(i);
         world.run_for(seconds(1));
@@ -299,10 +285,7 @@
             world.run_for(milliseconds(500));
             world.start_entry(entry);
             world.run_for(milliseconds(20));
-            for (const auto it : flows) {
-                world.send_request(it, entry);
-                world.run_for(milliseconds(2));
-            }
+            send_all(world, flows, entry);
             world.run_for(seconds(2));
         }
         for (const auto it : flows)
@@ -316,7 +299,7 @@
     void flows_are_reset_soon_after_a_power_loss_of_a_large_fleet() {
         relay_world world(large_world);
         world.run_until(startup_time);
-        const auto flows = open_flows(world, 20, 0);
+        const auto flows = open_flows(world, 20, 1);
         for (std::size_t i = 0; i < large_world.entries; ++i)
             world.kill_entry(i);
         for (std::size_t i = 0; i < large_world.hosts; ++i) {
@@ -343,18 +326,6 @@
         CPPUNIT_ASSERT_EQUAL(std::string(),
                              join_lines(world.found_violations()));
     }
-
-private:
-    static std::vector<std::size_t>
-    open_flows(relay_world& world, std::size_t count, std::size_t entry) {
-        std::vector<std::size_t> out;
-        for (std::size_t i = 0; i < count; ++i) {
-            out.push_back(world.open_flow(entry));
-            world.run_for(milliseconds(5));
-        }
-        world.run_for(milliseconds(500));
-        return out;
-    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(relay_fleet_test);
--- a/packages/testing/src/emulator/relay_world_test.cpp
+++ b/packages/testing/src/emulator/relay_world_test.cpp
@@ -1,8 +1,8 @@
-// Guards relayed TCP flows against loss and wrong resets when entries, host
-// processes and hosts stop and restart, hosts drain, registrations expire,
-// addresses are reused or the store is unreachable.
+// Guards relayed flows against loss and wrong resets when entries, host
+// processes and hosts stop and restart, hosts drain, and addresses or ports are
+// reused.
 
-#include <arbutusport/emulator/relay_world.hpp>
+#include "relay_world_flows.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -16,31 +16,6 @@
 // Long enough for hellos, reports and the first listing.
 constexpr duration startup_time = seconds(2);
 
-std::vector<std::size_t> open_flows(relay_world& world, std::size_t count) {
-    std::vector<std::size_t> out;
-    for (std::size_t i = 0; i < count; ++i) {
-        out.push_back(world.open_flow(i % 3));
-        world.run_for(milliseconds(5));
-    }
-    world.run_for(milliseconds(500));
-    return out;
-}
-
-std::string join_lines(const violations& it) {
-    std::string out;
-    for (const auto& one : it)
-        out += one + "\n";
-    return out;
-}
-
-void send_all(relay_world& world, const std::vector<std::size_t>& flows,
-              std::size_t entry) {
-    for (const auto it : flows) {
-        world.send_request(it, entry);
-        world.run_for(milliseconds(2));
-    }
-}
-
 } // namespace
 
 class relay_world_test : public CppUnit::TestFixture {
@@ -63,14 +38,6 @@
     CPPUNIT_TEST(flows_survive_a_route_change);
     CPPUNIT_TEST(reused_address_gets_no_flow_of_the_old_service);
     CPPUNIT_TEST(a_flow_from_a_reused_port_is_not_mixed_with_the_old_one);
-    CPPUNIT_TEST(hosts_with_expired_registrations_keep_serving);
-    CPPUNIT_TEST(entry_without_store_receives_the_directory_from_a_peer);
-    CPPUNIT_TEST(one_entry_reads_for_its_data_centre);
-    CPPUNIT_TEST(another_entry_reads_when_the_reader_is_killed);
-    CPPUNIT_TEST(another_entry_reads_when_the_store_rejects_the_reader);
-    CPPUNIT_TEST(a_rejected_entry_waits_before_it_reads_again);
-    CPPUNIT_TEST(an_isolated_entry_is_not_ready);
-    CPPUNIT_TEST(unknown_route_without_store_is_not_refused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -447,161 +414,7 @@
                              join_lines(world.found_violations()));
     }
 
-    // Registrations expire during a store outage while the hosts keep running.
-    void hosts_with_expired_registrations_keep_serving() {
-        relay_world world({});
-        world.run_until(startup_time);
-        const auto flows = open_flows(world, 60);
-        world.expire_all_registrations();
-        world.run_for(seconds(4));
-        for (std::size_t i = 0; i < 3; ++i)
-            world.reconnect_store(i);
-        world.run_for(milliseconds(200));
-        const auto later = open_flows(world, 30);
-        send_all(world, flows, 2);
-        world.run_for(milliseconds(500));
-        for (const auto it : flows)
-            CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.answers(it));
-        for (const auto it : later)
-            CPPUNIT_ASSERT(world.is_open(it));
-        // Hosts that do not register again are removed.
-        world.run_for(seconds(4));
-        CPPUNIT_ASSERT(world.directory_of(0).hosts().empty());
-        CPPUNIT_ASSERT_EQUAL(std::string(),
-                             join_lines(world.found_violations()));
-    }
-
-    void entry_without_store_receives_the_directory_from_a_peer() {
-        relay_world world({});
-        world.run_until(startup_time);
-        world.kill_entry(2);
-        world.disconnect_store(2);
-        world.run_for(milliseconds(500));
-        world.start_entry(2);
-        world.run_for(seconds(1));
-        CPPUNIT_ASSERT(world.is_entry_ready(2));
-        const auto flow = world.open_flow(2);
-        world.run_for(milliseconds(100));
-        CPPUNIT_ASSERT(world.is_open(flow));
-        // Later changes reach the entry as well.
-        world.drain_host(1);
-        world.run_for(seconds(2));
-        bool drains = false;
-        for (const auto& [key, it] : world.directory_of(2).hosts())
-            drains = drains || it.record.draining;
-        CPPUNIT_ASSERT(drains);
-    }
-
-    // Each store watch is a billed call: ten host changes cost ten calls for
-    // each reader.
-    void one_entry_reads_for_its_data_centre() {
-        relay_world world({.entries = 6, .hosts = 10});
-        world.run_until(startup_time);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.reader_count());
-        const auto before = world.store_answers();
-        for (std::size_t i = 0; i < 10; ++i) {
-            world.drain_host(i);
-            world.run_for(milliseconds(100));
-            for (std::size_t entry = 0; entry < 6; ++entry)
-                CPPUNIT_ASSERT(count_draining_hosts(world, entry) == i + 1);
-        }
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, world.store_answers() - before);
-        // A new configuration reaches every entry with its routes.
-        world.change_route();
-        world.run_for(milliseconds(100));
-        for (std::size_t entry = 0; entry < 6; ++entry)
-            CPPUNIT_ASSERT(world.directory_of(entry).version() > 1);
-    }
-
-    void another_entry_reads_when_the_reader_is_killed() {
-        relay_world world({.entries = 4});
-        world.run_until(startup_time);
-        const auto reader = world.first_reader();
-        world.kill_entry(reader);
-        world.drain_host(1);
-        // A configuration must take effect within 3 s.
-        world.run_for(milliseconds(2500));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.reader_count());
-        for (std::size_t entry = 0; entry < 4; ++entry)
-            if (entry != reader)
-                CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                                     count_draining_hosts(world, entry));
-    }
-
-    void another_entry_reads_when_the_store_rejects_the_reader() {
-        relay_world world({.entries = 4});
-        world.run_until(startup_time);
-        const auto reader = world.first_reader();
-        world.disconnect_store(reader);
-        world.drain_host(1);
-        world.run_for(milliseconds(2500));
-        CPPUNIT_ASSERT(world.first_reader() != reader);
-        for (std::size_t entry = 0; entry < 4; ++entry)
-            CPPUNIT_ASSERT_EQUAL(std::size_t{1},
-                                 count_draining_hosts(world, entry));
-        // Followers are as current as the reader, so they may reject flows.
-        CPPUNIT_ASSERT(!world.directory_of(reader).is_store_lost());
-    }
-
-    // Found by the soak test, seed 20: an entry whose store connection was
-    // reset became reader in place of its peer and returned the role 100 times
-    // a second, with one store call each time.
-    void a_rejected_entry_waits_before_it_reads_again() {
-        relay_world world({.entries = 4});
-        world.run_until(startup_time);
-        world.disconnect_store(world.first_reader());
-        world.run_for(seconds(10));
-        // At most one attempt every 2 s.
-        CPPUNIT_ASSERT(world.store_refusals() <= 6);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.reader_count());
-    }
-
-    // Guards against routers that keep sending to an entry without a connection
-    // to any machine because it still reports ready (deploy/days/cut_off.toml,
-    // seed 7).
-    void an_isolated_entry_is_not_ready() {
-        relay_world world({});
-        world.run_until(startup_time);
-        CPPUNIT_ASSERT(world.is_entry_ready(0));
-        world.set_entry_isolated(0, true);
-        world.run_for(milliseconds(1400));
-        CPPUNIT_ASSERT(!world.is_entry_ready(0));
-        CPPUNIT_ASSERT(world.is_entry_ready(1));
-        world.set_entry_isolated(0, false);
-        world.run_for(milliseconds(500));
-        CPPUNIT_ASSERT(world.is_entry_ready(0));
-        // Unresponsive hosts alone do not make an entry unready.
-        world.kill_host_process(1);
-        world.kill_host_process(2);
-        world.run_for(seconds(2));
-        CPPUNIT_ASSERT(world.is_entry_ready(0));
-    }
-
-    void unknown_route_without_store_is_not_refused() {
-        constexpr std::uint16_t unknown_port = 444;
-        relay_world world({.entries = 1});
-        world.run_until(startup_time);
-        const auto refused = world.open_flow(0, unknown_port);
-        world.run_for(milliseconds(100));
-        CPPUNIT_ASSERT(world.is_reset(refused));
-        // A newer configuration, which the entry cannot read, may have the
-        // route.
-        world.disconnect_store(0);
-        const auto dropped = world.open_flow(0, unknown_port);
-        world.run_for(seconds(1));
-        CPPUNIT_ASSERT(!world.is_reset(dropped));
-    }
-
 private:
-    // Number of draining hosts in the entry's directory.
-    static std::size_t count_draining_hosts(const relay_world& world,
-                                            std::size_t entry) {
-        std::size_t count = 0;
-        for (const auto& [key, it] : world.directory_of(entry).hosts())
-            count += it.record.draining ? 1 : 0;
-        return count;
-    }
-
     // Stops three entries and all hosts, then boots them again.
     static void power_cycle(relay_world& world, std::size_t hosts) {
         for (std::size_t i = 0; i < 3; ++i)
