--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Generates docs/CAPACITY.md from docs/measurements/bench.txt.
+"""Generates docs/CAPACITY.md from docs/measurements/bench.txt and sweep.txt.
 
   scripts/capacity.py            writes the page
   scripts/capacity.py --check    exits with 1 if the page is out of date or the
@@ -8,13 +8,15 @@
 
 The input is the output of scripts/bench.sh, one figure per line. Each run
 starts with comment lines that name the command, the commit, the digest of the
-sources, the cores and the load.
+sources, the cores and the load. The relay's section is described in
+capacity_relay.py.
 """
 
 import hashlib
 import pathlib
 import sys
 
+import capacity_relay
 from capacity_figures import (
     Figures, format_number, markdown_table, sum_values)
 from capacity_target import (
@@ -26,6 +28,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 MEASUREMENTS_FILE = ROOT / "docs/measurements/bench.txt"
+SWEEP_FILE = ROOT / "docs/measurements/sweep.txt"
 PAGE_FILE = ROOT / "docs/CAPACITY.md"
 # Control code and the programs that measure it. The relay, which forwards
 # flows without parsing them, is measured on the users' platform instead.
@@ -552,7 +555,7 @@
         return (
             "# Capacity\n\n"
             "Written by `scripts/capacity.py` from "
-            "`docs/measurements/bench.txt`; do not edit. Control means "
+            "`docs/measurements/`; do not edit. Control means "
             "configuration, membership, ownership queries and holder bitmaps. "
             "Bytes count both directions.\n\n"
             f"Target: {ENTRIES} entries before {HOSTS:,} hosts behind "
@@ -565,7 +568,8 @@
             + self.role_section("entry") + self.role_section("host")
             + self.platform_section() + self.propagation_section()
             + self.first_limit_section() + self.failures_section()
-            + self.extrapolation_section())
+            + self.extrapolation_section() + "\n"
+            + capacity_relay.section(SWEEP_FILE.read_text()).rstrip() + "\n")
 
 
 def main(arguments):
@@ -582,12 +586,17 @@
         return 0
     if not PAGE_FILE.exists() or PAGE_FILE.read_text() != page:
         print("docs/CAPACITY.md is out of date: scripts/capacity.py generates "
-              "another page from docs/measurements/bench.txt", file=sys.stderr)
+              "another page from docs/measurements", file=sys.stderr)
         return 1
     stale = stale_runs(figures.runs)
     for run in stale:
         print("docs/measurements/bench.txt: this run measured other sources "
               f"than {sources_digest()}; repeat it: {run}", file=sys.stderr)
+    if capacity_relay.is_stale(SWEEP_FILE.read_text(), ROOT):
+        print("docs/measurements/sweep.txt measured other sources than "
+              f"{capacity_relay.sources_digest(ROOT)}; repeat the sweep",
+              file=sys.stderr)
+        return 1
     return 1 if stale else 0
 
 
