--- a/packages/core/src/relay/peer_entries.cpp
+++ b/packages/core/src/relay/peer_entries.cpp
@@ -153,8 +153,8 @@
          next_peers(false, next_remote_, options_.remote_hellos))
         receivers.push_back(it);
     std::ranges::sort(receivers);
-    const auto repeated = std::ranges::unique(receivers);
-    receivers.erase(repeated.begin(), repeated.end());
+    receivers.erase(std::unique(receivers.begin(), receivers.end()),
+                    receivers.end());
     const peer_hello hello = make_hello(own, false, now);
     for (const machine_address it : receivers)
         send_hello(it, peers_.at(it), hello);
--- a/packages/testing/src/emulator/relay_fleet_test.cpp
+++ b/packages/testing/src/emulator/relay_fleet_test.cpp
@@ -37,9 +37,10 @@
         const auto known = before.find(type);
         const path_counts from =
             known == before.end() ? path_counts{} : known->second;
-        const auto add = [&](const char* path, const message_count& a,
-                             const message_count& b) {
-            out[type + path] = {
+        const auto add = [&, name = type](const char* path,
+                                          const message_count& a,
+                                          const message_count& b) {
+            out[name + path] = {
                 static_cast<double>(a.messages - b.messages) * per_entry,
                 static_cast<double>(a.bytes - b.bytes) * per_entry};
         };
