Derive how long a withdrawal of a reader is remembered

Cause: it was a constant of 3 s, but in a data centre of more than eight entries others may pass on an older announcement for longer.

Change: it is remembered until the reader counts as failed for an entry that is no successor. Test: reader_election_test, extended.

--- a/packages/core/include/arbutusport/relay/reader_election.hpp
+++ b/packages/core/include/arbutusport/relay/reader_election.hpp
@@ -104,6 +104,8 @@
     // pass on are older.
     machine_address withdrawn_;
     time_point withdrawn_at_;
+    // Live entries of the data centre at the last should_read().
+    std::size_t members_ = 1;
     // Since when no reader has been known.
     std::optional<time_point> absent_since_;
     std::optional<time_point> started_at_;
--- a/packages/core/src/relay/reader_election.cpp
+++ b/packages/core/src/relay/reader_election.cpp
@@ -14,9 +14,6 @@
 constexpr std::uint64_t reader_seed = 0x72656164;
 // Two announcements may be lost before the reader counts as failed.
 constexpr int missed_announcements = 2;
-// Entries may pass on announcements of a reader for this long after it
-// withdrew.
-constexpr duration withdrawal_retention = std::chrono::seconds(3);
 
 } // namespace
 
@@ -29,7 +26,10 @@
     if (it.reader == options_.self)
         return;
     if (it.reader == withdrawn_) {
-        if (!is_direct && now - withdrawn_at_ < withdrawal_retention)
+        // Entries that missed the withdrawal pass on older announcements until
+        // the reader counts as failed.
+        if (!is_direct && now - withdrawn_at_ <
+                              failure_timeout({options_.successors, members_}))
             return;
         withdrawn_ = {};
     }
@@ -78,6 +78,7 @@
 
 bool reader_election::should_read(bool reads, bool prefers_others, standing own,
                                   time_point now) {
+    members_ = own.members;
     if (!started_at_)
         started_at_ = now;
     if (now - *started_at_ < options_.settle_time)
--- a/packages/core/src/relay/reader_election_test.cpp
+++ b/packages/core/src/relay/reader_election_test.cpp
@@ -143,8 +143,13 @@
                         start + milliseconds(150));
         CPPUNIT_ASSERT(
             it.should_read(false, false, first, start + milliseconds(200)));
+        // As long as an entry that missed the withdrawal may pass it on.
+        const auto limit = it.failure_timeout(last);
+        it.on_announced(announcement(reader, 2), false,
+                        start + milliseconds(90) + limit);
+        CPPUNIT_ASSERT(!it.reader().has_value());
         it.on_announced(announcement(reader, 3), true,
-                        start + milliseconds(300));
+                        start + milliseconds(95) + limit);
         CPPUNIT_ASSERT(it.reader().has_value());
     }
 
