--- a/packages/core/include/arbutusport/relay/directory.hpp
+++ b/packages/core/include/arbutusport/relay/directory.hpp
@@ -129,8 +129,9 @@
     /// changes nothing if `as_of` is older than the current revision.
     bool adopt_listing(revision as_of, std::vector<directory_change> items,
                        time_point now);
-    /// @brief Ignores changes that are not newer than the current revision.
-    void apply(const directory_change& change, time_point now);
+    /// @brief Returns false and changes nothing if the change is not newer than
+    /// the current revision.
+    bool apply(const directory_change& change, time_point now);
     /// @brief Must be called when all changes up to `as_of` were applied.
     void advance(revision as_of);
     /// @brief Adopts a peer's copy if it is newer and, where it omits the
--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -179,6 +179,7 @@
     void on_directory_changed(const char* reason, time_point now);
     bool is_known_machine(machine_address it) const;
     void report(event it) const;
+    void report_ignored(const char* what, revision at) const;
 
     entry_relay_options options_;
     entry_relay_hooks hooks_;
--- a/packages/core/src/relay/directory.cpp
+++ b/packages/core/src/relay/directory.cpp
@@ -34,9 +34,9 @@
     return true;
 }
 
-void directory::apply(const directory_change& change, time_point now) {
+bool directory::apply(const directory_change& change, time_point now) {
     if (change.at <= as_of_)
-        return;
+        return false;
     std::visit(
         overloaded{
             [&](const routing_document& it) { apply_routing(change.at, it); },
@@ -44,6 +44,7 @@
             [&](const host_removed& it) { remove_host(it.key, now); }},
         change.what);
     update_derived();
+    return true;
 }
 
 void directory::advance(revision as_of) {
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -265,6 +265,8 @@
     awaits_store_answer_ = false;
     if (directory_.adopt_listing(as_of, std::move(items), now))
         on_directory_changed("listing", now);
+    else
+        report_ignored("listing", as_of);
 }
 
 void entry_relay::on_changes(revision as_of,
@@ -273,12 +275,23 @@
     directory_.on_store_regained(now);
     awaits_store_answer_ = false;
     for (const directory_change& it : items)
-        directory_.apply(it, now);
+        if (!directory_.apply(it, now))
+            report_ignored("change", it.at);
     directory_.advance(as_of);
     if (!items.empty())
         on_directory_changed("change", now);
 }
 
+void entry_relay::report_ignored(const char* what, revision at) const {
+    report({.severity = event::level::info,
+            .name = "store_answer_ignored",
+            .reason = what,
+            .inputs = {{{"revision", static_cast<std::int64_t>(at.value())},
+                        {"as_of",
+                         static_cast<std::int64_t>(directory_.as_of().value())},
+                        version_input()}}});
+}
+
 void entry_relay::on_store_error(time_point now) {
     if (reading_)
         directory_.on_store_lost(now);
