--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -4,6 +4,7 @@
 // host receives a flow of another service.
 #pragma once
 
+#include <arbutusport/emulator/simulated_store.hpp>
 #include <arbutusport/relay/entry_relay.hpp>
 #include <arbutusport/relay/host_relay.hpp>
 
@@ -107,6 +108,18 @@
     /// @brief Publishes a configuration that routes new flows to another
     /// service, which has no host in this world.
     void change_route();
+    /// @brief Publishes a configuration with one more route, to the main
+    /// service.
+    void add_route(std::uint16_t service_port);
+
+    /// @brief Keeps a copy of the store's present contents.
+    void back_up_store();
+    /// @brief The store returns to the copy, revisions included; readers list
+    /// it at once.
+    void restore_store();
+    /// @brief The operator and the registered hosts write what a restored store
+    /// has lost.
+    void write_again();
 
     /// @brief The entry loses access to the store.
     void disconnect_store(std::size_t entry);
@@ -162,7 +175,6 @@
     void tick();
     void publish_registration(std::size_t host);
     void deliver_listing(std::size_t entry);
-    relay::directory_change routing_change() const;
     void send_change(const relay::directory_change& change);
     relay::host_record record_of(std::size_t host) const;
     void send_to_host(relay::machine_address from, relay::machine_address to,
@@ -187,9 +199,10 @@
     relay_world_options options_;
     duration now_{};
     std::uint64_t random_;
-    std::uint64_t revision_ = 1;
-    std::uint64_t routing_revision_ = 1;
-    service_id routed_service_;
+    simulated_store store_;
+    simulated_store backup_;
+    // The operator's newest configuration.
+    relay::routing_document routing_;
     std::vector<std::unique_ptr<entry_state>> entries_;
     std::vector<std::unique_ptr<host_state>> hosts_;
     std::vector<flow_state> flows_;
--- /dev/null
+++ b/packages/testing/include/arbutusport/emulator/simulated_store.hpp
@@ -0,0 +1,34 @@
+// Contents of the platform's store in simulations: one routing document and the
+// registrations of hosts, with a revision for each change.
+#pragma once
+
+#include <arbutusport/relay/directory.hpp>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace arbutusport::emulator {
+
+/// @brief A copy of an object is a backup of the store's contents.
+class simulated_store {
+public:
+    relay::directory_change put(const relay::host_record& it);
+    relay::directory_change put(const relay::routing_document& it);
+    relay::directory_change remove(relay::host_key key);
+    /// @brief All registrations expire, in one revision.
+    void expire_registrations();
+    /// @brief Returns to the contents and the revision of `backup`.
+    void restore(const simulated_store& backup);
+
+    bool contains(const relay::host_record& it) const;
+    relay::revision as_of() const { return relay::revision(revision_); }
+    std::vector<relay::directory_change> items() const;
+
+private:
+    std::uint64_t revision_ = 0;
+    std::optional<relay::directory_change> routing_;
+    std::map<relay::host_key, relay::directory_change> hosts_;
+};
+
+} // namespace arbutusport::emulator
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -7,13 +7,16 @@
 namespace arbutusport::emulator {
 
 relay_world::relay_world(relay_world_options options)
-    : options_(options), random_(options.seed * 2 + 1),
-      routed_service_(main_service) {
+    : options_(options), random_(options.seed * 2 + 1) {
+    routing_.version = 1;
+    routing_.routes.push_back({service_address, {{main_service, 1}}});
+    store_.put(routing_);
     for (std::size_t i = 0; i < options.hosts; ++i) {
         hosts_.push_back(std::make_unique<host_state>());
         hosts_[i]->address = {
             first_host_address + static_cast<std::uint32_t>(i), 8080};
         start_host_process(i);
+        store_.put(record_of(i));
     }
     for (std::size_t i = 0; i < options.entries; ++i) {
         entries_.push_back(std::make_unique<entry_state>());
--- a/packages/testing/src/emulator/relay_world_faults.cpp
+++ b/packages/testing/src/emulator/relay_world_faults.cpp
@@ -73,7 +73,7 @@
         disconnect_store(i);
     for (auto& it : hosts_)
         it->registered = false;
-    ++revision_;
+    store_.expire_registrations();
 }
 
 // Each boot of a host registers under a new key.
@@ -91,13 +91,9 @@
 // Sends a change of the host's registration to all entries that read the
 // store.
 void relay_world::publish_registration(std::size_t host) {
-    host_state& it = *hosts_[host];
-    it.revision = ++revision_;
-    relay::directory_change change{relay::revision(it.revision),
-                                   record_of(host)};
-    if (!it.registered)
-        change.what = relay::host_removed{record_of(host).key};
-    send_change(change);
+    const auto record = record_of(host);
+    send_change(hosts_[host]->registered ? store_.put(record)
+                                         : store_.remove(record.key));
 }
 
 void relay_world::send_change(const relay::directory_change& change) {
@@ -112,15 +108,34 @@
 }
 
 void relay_world::change_route() {
-    routed_service_ = other_service;
-    routing_revision_ = ++revision_;
-    send_change(routing_change());
+    routing_.routes.front().targets = {{other_service, 1}};
+    ++routing_.version;
+    send_change(store_.put(routing_));
+}
+
+void relay_world::add_route(std::uint16_t service_port) {
+    routing_.routes.push_back(
+        {{service_address.address, service_port}, {{main_service, 1}}});
+    ++routing_.version;
+    send_change(store_.put(routing_));
+}
+
+void relay_world::back_up_store() {
+    backup_ = store_;
 }
 
-relay::directory_change relay_world::routing_change() const {
-    relay::routing_document it{.version = routing_revision_};
-    it.routes.push_back({service_address, {{routed_service_, 1}}});
-    return {relay::revision(routing_revision_), it};
+void relay_world::restore_store() {
+    store_.restore(backup_);
+    for (std::size_t i = 0; i < entries_.size(); ++i)
+        if (entries_[i]->is_reader)
+            deliver_listing(i);
+}
+
+void relay_world::write_again() {
+    send_change(store_.put(routing_));
+    for (std::size_t i = 0; i < hosts_.size(); ++i)
+        if (hosts_[i]->registered && !store_.contains(record_of(i)))
+            publish_registration(i);
 }
 
 void relay_world::deliver_listing(std::size_t entry) {
@@ -140,13 +155,7 @@
         return;
     }
     ++store_answers_;
-    std::vector<relay::directory_change> items{routing_change()};
-    for (std::size_t i = 0; i < hosts_.size(); ++i)
-        if (hosts_[i]->registered)
-            items.push_back(
-                {relay::revision(hosts_[i]->revision), record_of(i)});
-    it.process->on_listing(relay::revision(revision_), std::move(items),
-                           time());
+    it.process->on_listing(store_.as_of(), store_.items(), time());
 }
 
 std::uint64_t relay_world::flows_placed_at(std::size_t host) const {
--- a/packages/testing/src/emulator/relay_world_state.hpp
+++ b/packages/testing/src/emulator/relay_world_state.hpp
@@ -86,7 +86,6 @@
     bool draining = false;
     bool silent = false;
     duration booted_at{};
-    std::uint64_t revision = 1;
     std::uint64_t placed = 0;
     // First sequence number by flow.
     std::map<flow_key, std::uint32_t> flows;
