Order positions in the store by era, and configurations by version

Callers saw: a route that the operator had added after the store was restored from a copy was refused, or run as by an older version, until the store gave out a revision that had not been used before.

Cause: the directory, the client and the messages between entries used the revision counter as the order of all changes. A restored store gives revisions out again: its listing (revision 14) was dropped since 15 was known, and the new version (revision 15) was dropped as a repeated change.

Change: `revision` consists of the store's era and its counter, so every table that compares positions orders them across restores. The client lists again when an answer states another era. Configurations are ordered by their version, so that the copy cannot bring an older one back; peers announce theirs, since a process that starts may read only the copy. What is known from before a restore outweighs the copy until live hosts have written again: departed hosts, earlier starts and states before a drain wait, and hosts that the copy lacks stay for the grace period. Without these rules, adopting the copy would bring back what was dropped before only by accident, so both come in one change.

Messages of the store's first era are encoded as before; later eras have message types that processes of the previous build drop and count.

--- a/packages/core/include/arbutusport/relay/directory.hpp
+++ b/packages/core/include/arbutusport/relay/directory.hpp
@@ -1,11 +1,12 @@
 // Local copy of routes and hosts: the contents of the platform's store as of
-// one revision, and the rules for when a host whose record vanished from the
-// store counts as removed.
+// one revision, and the rules for what counts while the store's contents are
+// incomplete: after an outage, and after the store was restored from a copy.
 #pragma once
 
 #include <arbutusport/base/endpoint.hpp>
 #include <arbutusport/base/ids.hpp>
 #include <arbutusport/base/time.hpp>
+#include <arbutusport/relay/revision.hpp>
 
 #include <cstdint>
 #include <map>
@@ -23,9 +24,6 @@
 /// usually has another key.
 using host_key = strong_value<struct host_key_tag, std::uint64_t>;
 
-/// @brief The store's revision counter.
-using revision = strong_value<struct revision_tag, std::uint64_t>;
-
 struct weighted_service {
     service_id service;
     std::uint32_t weight = 1;
@@ -108,9 +106,23 @@
     /// Records that lapsed during an outage of the store reappear within about
     /// 2 s of its recovery if the host is alive; 0.5 s more for a slow read.
     duration lapse_grace_period = std::chrono::milliseconds(2500);
+    /// Interval at which hosts write to the store.
+    duration heartbeat_interval = std::chrono::milliseconds(1200);
+    /// Heartbeats after which the store has removed the record of a host that
+    /// no longer writes. Until then a restored store may name departed hosts.
+    int copy_heartbeats = 4;
+    /// For this long it is remembered when a removed host had started. Longer
+    /// than the age of a copy plus the outage before its return.
+    duration removal_retention = std::chrono::minutes(2);
 };
 
-/// @brief Not thread-safe. Never moves to an older revision.
+/// @brief Not thread-safe. Never moves to an older revision, nor to an older
+/// version of the configuration.
+///
+/// Knowledge from before a restore of the store outweighs what the restored
+/// store may have from its copy: a departed host, an earlier start of a host,
+/// or the state before its drain take effect only if the store still names them
+/// once all live hosts have written again.
 class directory {
 public:
     struct host {
@@ -135,7 +147,8 @@
     /// @brief Must be called when all changes up to `as_of` were applied.
     void advance(revision as_of);
     /// @brief Adopts a peer's copy if it is newer and, where it omits the
-    /// routes, the own routes are of the same revision.
+    /// routes, the own routes are of the same revision. Of an older copy only a
+    /// newer version of the configuration is adopted.
     bool adopt_view(const directory_view& view, time_point now);
     directory_view view() const;
     /// @brief Adopts a peer's newer state if the own one is its base.
@@ -152,7 +165,7 @@
     /// @brief True once routes are known.
     bool is_ready() const { return routing_at_ != revision(); }
     revision as_of() const { return as_of_; }
-    /// @brief Equal for equal contents, regardless of the revision.
+    /// @brief Equal for equal contents of one era, regardless of the revision.
     std::uint64_t digest() const { return digest_; }
     revision routing_at() const { return routing_at_; }
     std::uint64_t version() const { return routing_.version; }
@@ -164,11 +177,19 @@
     const host* newest_at(std::uint32_t address) const;
 
 private:
-    void apply_routing(revision at, routing_document document);
+    bool apply_routing(revision at, routing_document document);
     void apply_host(revision at, const host_record& record, time_point now);
+    void put_host(revision at, const host_record& record, time_point now);
     void remove_host(host_key key, time_point now);
+    void erase_host(host_key key, time_point now);
+    void enter_era(revision as_of, time_point now);
     bool is_in_lapse_grace(time_point now) const;
+    bool may_be_from_copy(revision at, time_point now) const;
+    bool is_outdated(revision at, const host_record& record) const;
+    void expire_removals(time_point now);
     void update_derived();
+    std::uint64_t hash_of_position(std::uint64_t seed, revision at) const;
+    static bool is_older(const host& left, const host& right);
 
     directory_options options_;
     revision as_of_;
@@ -179,6 +200,18 @@
     // The newest host at each address; always matches `hosts_`.
     std::unordered_map<std::uint32_t, host_key> newest_by_address_;
     std::uint64_t digest_ = 0;
+    struct removed_host {
+        unix_milliseconds started;
+        time_point removed_at;
+    };
+    std::map<host_key, removed_host> removed_;
+    // Records of the restored store that earlier knowledge contradicts. They
+    // take effect when `may_be_from_copy` no longer holds.
+    std::map<host_key, directory_view::host> outdated_;
+    // The first position in the present era, and when it was adopted; empty in
+    // the first known era.
+    revision restored_as_of_;
+    std::optional<time_point> restored_at_;
     bool store_lost_ = false;
     // Set by the first on_store_regained().
     std::optional<time_point> regained_at_;
--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -164,6 +164,7 @@
     std::array<event_input, 4>
     conclusion_inputs(const owner_search::conclusion& it) const;
     event_input version_input() const;
+    event_input as_of_input() const;
     bool directory_is_current(time_point now) const;
     bool knows_all_hosts(time_point now) const;
     bool has_heard_entries(time_point now) const;
@@ -180,6 +181,7 @@
     bool is_known_machine(machine_address it) const;
     void report(event it) const;
     void report_ignored(const char* what, revision at) const;
+    void report_restore();
 
     entry_relay_options options_;
     entry_relay_hooks hooks_;
@@ -190,6 +192,8 @@
     lru_map<flow_key, hint> hints_;
     std::unordered_map<flow_key, opening> openings_;
     std::uint64_t last_digest_ = 0;
+    // Era of the store at the last tick with a directory; 0 before.
+    store_era era_;
     host_changes host_changes_;
     std::optional<time_point> last_tick_;
     // When the first usable directory was received.
--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -1,5 +1,9 @@
 // Messages between relay processes. Each is one datagram; a directory is split
 // into several messages.
+//
+// Positions in the store's first era are encoded as by processes that know no
+// eras. Messages with positions in later eras have types of their own, which
+// such processes drop: they would mistake a restored store for an old one.
 #pragma once
 
 #include <arbutusport/base/bytes.hpp>
@@ -148,6 +152,9 @@
     /// The sender has run long enough to know every process whose host is no
     /// longer registered. Sent only together with `reader`.
     bool knows_departed = false;
+    /// Version of the configuration. Sent only in later eras than the first, in
+    /// which a position does not imply it.
+    std::uint64_t version = 0;
 };
 
 /// @brief Requests the directory of another entry.
@@ -181,7 +188,8 @@
 /// @brief A view without routes can only be adopted by a process that has the
 /// same routes.
 bytes encode_view(const directory_view& it, bool with_routes = true);
-result<directory_view> decode_view(byte_view data);
+/// @brief The era is the one of the message that carries the view.
+result<directory_view> decode_view(byte_view data, store_era era);
 
 /// Maximum number of flows in one owned_flows message; fits an Ethernet frame.
 inline constexpr std::size_t max_flows_per_message = 60;
--- a/packages/core/include/arbutusport/relay/peer_entries.hpp
+++ b/packages/core/include/arbutusport/relay/peer_entries.hpp
@@ -128,6 +128,8 @@
         data_centre_id data_centre;
         revision as_of;
         std::uint64_t digest = 0;
+        // 0 in the store's first era, in which `as_of` implies the version.
+        std::uint64_t version = 0;
         bool reads_store = false;
         bool answered = false;
         bool knows_departed = false;
@@ -146,6 +148,11 @@
     bool is_near(const peer& it) const {
         return it.data_centre == options_.data_centre;
     }
+    static bool is_newer(const peer& it, const directory& known);
+    static bool has_same_contents(const peer& it, const directory& known) {
+        return it.as_of.era() == known.as_of().era() &&
+               it.digest == known.digest();
+    }
     bool is_live(const peer& it, time_point now) const {
         return is_near(it) && now - it.seen_at <= options_.live_timeout;
     }
@@ -198,6 +205,8 @@
     std::optional<message> delta_since_push(const directory& known) const;
 
     // The directory that was last pushed, and the revision of each host in it.
+    // The digest is only valid in the era.
+    store_era pushed_era_ = first_era;
     std::uint64_t pushed_digest_ = 0;
     std::map<host_key, revision> pushed_hosts_;
     revision pushed_routing_;
--- a/packages/core/src/relay/directory.cpp
+++ b/packages/core/src/relay/directory.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace arbutusport::relay {
 
@@ -14,6 +15,7 @@
                               time_point now) {
     if (as_of < as_of_)
         return false;
+    enter_era(as_of, now);
     std::set<host_key> listed;
     for (auto& item : items) {
         if (auto* document = std::get_if<routing_document>(&item.what))
@@ -35,7 +37,8 @@
 }
 
 bool directory::apply(const directory_change& change, time_point now) {
-    if (change.at <= as_of_)
+    // The history of another era does not continue this one.
+    if (change.at <= as_of_ || change.at.era() != as_of_.era())
         return false;
     std::visit(
         overloaded{
@@ -48,35 +51,53 @@
 }
 
 void directory::advance(revision as_of) {
-    as_of_ = std::max(as_of_, as_of);
+    if (as_of.era() == as_of_.era())
+        as_of_ = std::max(as_of_, as_of);
 }
 
 bool directory::adopt_view(const directory_view& view, time_point now) {
-    if (view.as_of <= as_of_ ||
-        (!view.has_routes && view.routing_at != routing_at_))
+    if (!view.has_routes && view.routing_at != routing_at_)
         return false;
+    const bool has_newer_routes =
+        view.has_routes && apply_routing(view.routing_at, view.routing);
+    if (view.as_of <= as_of_) {
+        // A peer may know a configuration that the restored store has lost.
+        if (has_newer_routes)
+            update_derived();
+        return has_newer_routes;
+    }
+    enter_era(view.as_of, now);
     std::set<host_key> listed;
-    if (view.has_routes)
-        apply_routing(view.routing_at, view.routing);
     for (const auto& it : view.hosts) {
         listed.insert(it.record.key);
         apply_host(it.at, it.record, now);
     }
-    // The peer has already observed the grace period of lapsed records.
-    std::erase_if(hosts_,
-                  [&](const auto& it) { return !listed.contains(it.first); });
+    // The peer has already observed the grace period of lapsed records, unless
+    // it knows nothing from before a restore.
+    std::vector<host_key> missing;
+    for (auto& [key, it] : hosts_) {
+        if (listed.contains(key))
+            continue;
+        if (is_in_lapse_grace(now) && it.at.era() < view.as_of.era())
+            it.lapsed = true;
+        else
+            missing.push_back(key);
+    }
+    for (const host_key key : missing)
+        erase_host(key, now);
     as_of_ = view.as_of;
     update_derived();
     return true;
 }
 
 bool directory::adopt_delta(const directory_delta& delta, time_point now) {
-    if (delta.as_of <= as_of_ || delta.base_digest != digest_)
+    if (delta.as_of <= as_of_ || delta.as_of.era() != as_of_.era() ||
+        delta.base_digest != digest_)
         return false;
     for (const auto& it : delta.changed)
         apply_host(it.at, it.record, now);
     for (const host_key key : delta.removed)
-        hosts_.erase(key);
+        erase_host(key, now);
     update_derived();
     // If the result differs, the revision stays, so that a whole view of the
     // peer can be adopted.
@@ -105,11 +126,23 @@
 }
 
 void directory::on_tick(time_point now) {
-    if (is_in_lapse_grace(now))
-        return;
-    const auto erased =
-        std::erase_if(hosts_, [](const auto& it) { return it.second.lapsed; });
-    if (erased != 0)
+    expire_removals(now);
+    bool changed = false;
+    if (!outdated_.empty() && !may_be_from_copy(restored_as_of_, now)) {
+        for (const auto& [key, it] : std::exchange(outdated_, {}))
+            put_host(it.at, it.record, now);
+        changed = true;
+    }
+    if (!is_in_lapse_grace(now)) {
+        std::vector<host_key> lapsed;
+        for (const auto& [key, it] : hosts_)
+            if (it.lapsed)
+                lapsed.push_back(key);
+        for (const host_key key : lapsed)
+            erase_host(key, now);
+        changed = changed || !lapsed.empty();
+    }
+    if (changed)
         update_derived();
 }
 
@@ -118,18 +151,33 @@
     return it == routes_.end() ? nullptr : &it->second;
 }
 
-void directory::apply_routing(revision at, routing_document document) {
-    if (at <= routing_at_)
-        return;
+// Versions order configurations across restores of the store, in which the
+// revision of one may be given to another.
+bool directory::apply_routing(revision at, routing_document document) {
+    if (document.version < routing_.version ||
+        (document.version == routing_.version && at <= routing_at_))
+        return false;
     routing_at_ = at;
     routing_ = std::move(document);
     routes_.clear();
     for (const route& it : routing_.routes)
         routes_.emplace(it.address, it);
+    return true;
 }
 
 void directory::apply_host(revision at, const host_record& record,
                            time_point now) {
+    if (may_be_from_copy(at, now) && is_outdated(at, record)) {
+        outdated_[record.key] = {at, record};
+        return;
+    }
+    put_host(at, record, now);
+}
+
+void directory::put_host(revision at, const host_record& record,
+                         time_point now) {
+    outdated_.erase(record.key);
+    removed_.erase(record.key);
     auto& it = hosts_[record.key];
     if (at > it.at)
         it = {.at = at, .record = record, .seen_at = now};
@@ -137,19 +185,68 @@
 }
 
 void directory::remove_host(host_key key, time_point now) {
+    outdated_.erase(key);
     const auto it = hosts_.find(key);
     if (it == hosts_.end())
         return;
     if (is_in_lapse_grace(now))
         it->second.lapsed = true;
     else
-        hosts_.erase(it);
+        erase_host(key, now);
+}
+
+void directory::erase_host(host_key key, time_point now) {
+    const auto it = hosts_.find(key);
+    if (it == hosts_.end())
+        return;
+    removed_[key] = {it->second.record.started, now};
+    hosts_.erase(it);
+}
+
+void directory::expire_removals(time_point now) {
+    std::erase_if(removed_, [&](const auto& it) {
+        return now - it.second.removed_at > options_.removal_retention;
+    });
+}
+
+// Must be called before the contents of a position are adopted.
+void directory::enter_era(revision as_of, time_point now) {
+    if (as_of_ == revision() || as_of.era() <= as_of_.era())
+        return;
+    restored_as_of_ = as_of;
+    restored_at_ = now;
+    outdated_.clear();
 }
 
 // True while a record may be missing although its host is alive.
 bool directory::is_in_lapse_grace(time_point now) const {
-    return store_lost_ ||
-           (regained_at_ && now - *regained_at_ < options_.lapse_grace_period);
+    const auto is_recent = [&](const std::optional<time_point>& it) {
+        return it && now - *it < options_.lapse_grace_period;
+    };
+    return store_lost_ || is_recent(regained_at_) || is_recent(restored_at_);
+}
+
+// True while a record of this revision may be older than what was known before
+// the restore.
+bool directory::may_be_from_copy(revision at, time_point now) const {
+    return restored_at_ && at <= restored_as_of_ &&
+           now - *restored_at_ <
+               options_.copy_heartbeats * options_.heartbeat_interval;
+}
+
+// Whether what was known before the restore shows that the record is older.
+bool directory::is_outdated(revision at, const host_record& record) const {
+    const auto removed = removed_.find(record.key);
+    if (removed != removed_.end())
+        return record.started <= removed->second.started;
+    const auto it = hosts_.find(record.key);
+    if (it == hosts_.end() || it->second.at.era() >= at.era())
+        return false;
+    // A drain is never revoked.
+    const host_record& known = it->second.record;
+    return record.started < known.started ||
+           (record.started == known.started && known.draining &&
+            !record.draining);
 }
 
 const directory::host* directory::newest_at(std::uint32_t address) const {
@@ -158,16 +255,31 @@
 }
 
 void directory::update_derived() {
-    digest_ = hash_combine(0, routing_at_.value());
+    digest_ = hash_of_position(0, routing_at_);
     newest_by_address_.clear();
     for (const auto& [key, it] : hosts_) {
-        digest_ =
-            hash_combine(digest_, hash_combine(key.value(), it.at.value()));
+        digest_ = hash_combine(digest_, hash_of_position(key.value(), it.at));
         const auto [position, is_first] =
             newest_by_address_.try_emplace(it.record.address.address, key);
-        if (!is_first && hosts_.at(position->second).at < it.at)
+        if (!is_first && is_older(hosts_.at(position->second), it))
             position->second = key;
     }
 }
 
+// Within the era of as_of() the hash is the one of processes that know no eras.
+std::uint64_t directory::hash_of_position(std::uint64_t seed,
+                                          revision at) const {
+    const auto hash = hash_combine(seed, at.number());
+    return at.era() == as_of_.era() ? hash
+                                    : hash_combine(hash, at.era().value());
+}
+
+bool directory::is_older(const host& left, const host& right) {
+    // The restored store may name the host that had the address before.
+    if (left.at.era() != right.at.era() &&
+        left.record.started != right.record.started)
+        return left.record.started < right.record.started;
+    return left.at < right.at;
+}
+
 } // namespace arbutusport::relay
--- a/packages/core/src/relay/directory_test.cpp
+++ b/packages/core/src/relay/directory_test.cpp
@@ -29,6 +29,25 @@
     return {revision(at), host(key)};
 }
 
+constexpr store_era second_era{2};
+
+// The change as a store states it that was restored once.
+directory_change moved(directory_change it) {
+    it.at = revision(it.at.number(), second_era);
+    return it;
+}
+
+directory_change started(std::uint64_t at, std::uint64_t key,
+                         std::uint64_t milliseconds_since_epoch) {
+    host_record it = host(key);
+    it.started = unix_milliseconds(milliseconds_since_epoch);
+    return {revision(at), it};
+}
+
+unix_milliseconds started_at(const directory& it, std::uint64_t key) {
+    return it.hosts().at(host_key(key)).record.started;
+}
+
 directory make_directory() {
     directory it;
     it.adopt_listing(revision(10),
@@ -51,6 +70,16 @@
     CPPUNIT_TEST(equal_contents_have_equal_digests);
     CPPUNIT_TEST(a_delta_needs_its_base);
     CPPUNIT_TEST(a_delta_with_another_result_does_not_hide_a_view);
+    CPPUNIT_TEST(a_restored_store_replaces_older_positions);
+    CPPUNIT_TEST(a_change_of_another_history_is_not_applied);
+    CPPUNIT_TEST(a_peer_without_eras_cannot_undo_a_restore);
+    CPPUNIT_TEST(a_delta_of_another_era_is_not_applied);
+    CPPUNIT_TEST(versions_order_configurations_across_restores);
+    CPPUNIT_TEST(a_newer_configuration_is_taken_from_an_older_view);
+    CPPUNIT_TEST(an_earlier_start_in_the_copy_waits_for_heartbeats);
+    CPPUNIT_TEST(a_registration_after_the_restore_counts_at_once);
+    CPPUNIT_TEST(the_newest_host_at_an_address_outlasts_a_restore);
+    CPPUNIT_TEST(followers_keep_hosts_that_a_new_reader_does_not_know);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -170,6 +199,149 @@
         CPPUNIT_ASSERT(it.adopt_view(view, start));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.hosts().size());
     }
+
+    // Guards against a listing that is dropped because the restored store gave
+    // out its revision before (deploy/days/restored.toml).
+    void a_restored_store_replaces_older_positions() {
+        directory it = make_directory();
+        CPPUNIT_ASSERT(
+            it.adopt_listing(revision(6, second_era),
+                             {moved(routing(3, 1)), moved(registered(4, 1)),
+                              moved(registered(6, 7))},
+                             start));
+        CPPUNIT_ASSERT(it.as_of() == revision(6, second_era));
+        // The host that the copy lacks has some seconds to register again.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, it.hosts().size());
+        CPPUNIT_ASSERT(it.apply(moved(routing(7, 2)), start));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, it.version());
+        it.on_tick(start + milliseconds(2600));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.hosts().size());
+        // A process that has known only this era has the same digest.
+        directory other;
+        other.adopt_listing(revision(7, second_era),
+                            {moved(registered(4, 1)), moved(registered(6, 7)),
+                             moved(routing(7, 2))},
+                            start);
+        CPPUNIT_ASSERT_EQUAL(other.digest(), it.digest());
+    }
+
+    // Guards against a history that is continued from a position of another.
+    void a_change_of_another_history_is_not_applied() {
+        directory it = make_directory();
+        CPPUNIT_ASSERT(!it.apply(
+            {revision(11, second_era), host_removed{host_key(1)}}, start));
+        it.advance(revision(11, second_era));
+        CPPUNIT_ASSERT(it.as_of() == revision(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.hosts().size());
+    }
+
+    // Guards against processes of the previous build, which go on with the
+    // history before the restore.
+    void a_peer_without_eras_cannot_undo_a_restore() {
+        directory it = make_directory();
+        it.adopt_listing(revision(5, second_era), {moved(registered(4, 1))},
+                         start);
+        directory_view view = make_directory().view();
+        view.as_of = revision(99);
+        CPPUNIT_ASSERT(!it.adopt_view(view, start));
+        CPPUNIT_ASSERT(!it.adopt_delta({.as_of = revision(99),
+                                        .base_digest = it.digest(),
+                                        .digest = it.digest()},
+                                       start));
+        CPPUNIT_ASSERT(it.as_of() == revision(5, second_era));
+    }
+
+    void a_delta_of_another_era_is_not_applied() {
+        directory it = make_directory();
+        CPPUNIT_ASSERT(
+            !it.adopt_delta({.as_of = revision(11, second_era),
+                             .base_digest = it.digest(),
+                             .digest = it.digest(),
+                             .changed = {{revision(11, second_era), host(9)}}},
+                            start));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.hosts().size());
+    }
+
+    // Guards against the return of the copy's configuration, and against one
+    // that is not adopted because its revision is low.
+    void versions_order_configurations_across_restores() {
+        directory it = make_directory();
+        it.apply(routing(11, 8), start);
+        it.advance(revision(11));
+        it.adopt_listing(revision(5, second_era), {moved(routing(3, 1))},
+                         start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, it.version());
+        it.apply(moved(routing(6, 8)), start);
+        CPPUNIT_ASSERT(it.routing_at() == revision(6, second_era));
+        it.apply(moved(routing(7, 9)), start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, it.version());
+    }
+
+    void a_newer_configuration_is_taken_from_an_older_view() {
+        directory peer = make_directory();
+        peer.apply(routing(11, 8), start);
+        directory it;
+        it.adopt_listing(revision(5, second_era),
+                         {moved(routing(3, 1)), moved(registered(4, 1))},
+                         start);
+        CPPUNIT_ASSERT(it.adopt_view(peer.view(), start));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, it.version());
+        CPPUNIT_ASSERT(it.as_of() == revision(5, second_era));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.hosts().size());
+    }
+
+    // Guards against a host that is known by its earlier start again. If the
+    // store still says so when all live hosts have written, it counts.
+    void an_earlier_start_in_the_copy_waits_for_heartbeats() {
+        directory it = make_directory();
+        it.apply(started(11, 1, 500), start);
+        it.advance(revision(11));
+        it.adopt_listing(revision(5, second_era), {moved(started(4, 1, 400))},
+                         start);
+        it.on_tick(start + seconds(4));
+        CPPUNIT_ASSERT(started_at(it, 1) == unix_milliseconds(500));
+        it.on_tick(start + seconds(5));
+        CPPUNIT_ASSERT(started_at(it, 1) == unix_milliseconds(400));
+    }
+
+    // A host may start again while the clock of its machine is behind.
+    void a_registration_after_the_restore_counts_at_once() {
+        directory it = make_directory();
+        it.apply(started(11, 1, 500), start);
+        it.advance(revision(11));
+        it.adopt_listing(revision(5, second_era), {moved(started(4, 1, 400))},
+                         start);
+        it.apply(moved(started(6, 1, 450)), start + seconds(1));
+        CPPUNIT_ASSERT(started_at(it, 1) == unix_milliseconds(450));
+        it.on_tick(start + seconds(5));
+        CPPUNIT_ASSERT(started_at(it, 1) == unix_milliseconds(450));
+    }
+
+    // Guards against flows for the service that had an address before.
+    void the_newest_host_at_an_address_outlasts_a_restore() {
+        directory it = make_directory();
+        it.apply(started(11, 1, 400), start);
+        it.apply(started(12, 2, 500), start);
+        it.advance(revision(12));
+        it.adopt_listing(revision(11, second_era), {moved(started(11, 1, 400))},
+                         start);
+        CPPUNIT_ASSERT(it.newest_at(0)->record.key == host_key(2));
+    }
+
+    // Guards against live hosts that vanish from processes that learn only
+    // from a peer, when that peer started after the restore.
+    void followers_keep_hosts_that_a_new_reader_does_not_know() {
+        directory reader;
+        reader.adopt_listing(revision(5, second_era),
+                             {moved(routing(3, 1)), moved(registered(4, 1))},
+                             start);
+        directory follower = make_directory();
+        CPPUNIT_ASSERT(follower.adopt_view(reader.view(), start));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, follower.hosts().size());
+        follower.on_tick(start + milliseconds(2600));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, follower.hosts().size());
+        CPPUNIT_ASSERT_EQUAL(reader.digest(), follower.digest());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(directory_test);
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -51,7 +51,8 @@
                 if (directory_.adopt_delta(one, now))
                     on_directory_changed("from_peer", now);
                 else if (one.as_of > directory_.as_of() &&
-                         one.digest != directory_.digest())
+                         (one.as_of.era() != directory_.as_of().era() ||
+                          one.digest != directory_.digest()))
                     entries_.request_from(from, now);
             },
             [&](const directory_part& one) {
@@ -184,6 +185,7 @@
     }
     last_tick_ = now;
     directory_.on_tick(now);
+    report_restore();
     if (directory_.digest() != last_digest_)
         on_directory_changed("lapsed", now);
     send_hellos(now);
@@ -286,9 +288,9 @@
     report({.severity = event::level::info,
             .name = "store_answer_ignored",
             .reason = what,
-            .inputs = {{{"revision", static_cast<std::int64_t>(at.value())},
-                        {"as_of",
-                         static_cast<std::int64_t>(directory_.as_of().value())},
+            .inputs = {{{"revision", static_cast<std::int64_t>(at.number())},
+                        {"era", static_cast<std::int64_t>(at.era().value())},
+                        as_of_input(),
                         version_input()}}});
 }
 
@@ -329,14 +331,26 @@
             .name = "directory_changed",
             .reason = reason,
             .inputs = {{version_input(),
-                        {"as_of",
-                         static_cast<std::int64_t>(directory_.as_of().value())},
+                        as_of_input(),
                         {"hosts", static_cast<std::int64_t>(
                                       directory_.hosts().size())}}}});
     host_changes_.update(directory_, hooks_.report);
     send_hellos(now);
 }
 
+void entry_relay::report_restore() {
+    const store_era era = directory_.as_of().era();
+    if (!directory_at_ || era == era_)
+        return;
+    const bool is_first = era_ == store_era();
+    era_ = era;
+    if (!is_first)
+        report({.severity = event::level::warning,
+                .name = "store_restored",
+                .value = era.value(),
+                .inputs = {{version_input(), as_of_input()}}});
+}
+
 bool entry_relay::is_ready(time_point now) const {
     // Routers must not send traffic to a machine that reaches no host.
     return directory_at_ && !peers_.is_isolated(now) &&
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -313,7 +313,11 @@
 entry_relay::conclusion_inputs(const owner_search::conclusion& it) const {
     return {{{"denials", static_cast<std::int64_t>(it.denials)},
              {"after_ms", it.after / std::chrono::milliseconds(1)},
-             {"as_of", static_cast<std::int64_t>(directory_.as_of().value())}}};
+             as_of_input()}};
+}
+
+event_input entry_relay::as_of_input() const {
+    return {"as_of", static_cast<std::int64_t>(directory_.as_of().number())};
 }
 
 std::optional<bool> entry_relay::is_near(machine_address machine) const {
--- a/packages/core/src/relay/host_changes.cpp
+++ b/packages/core/src/relay/host_changes.cpp
@@ -16,7 +16,7 @@
                 .reason = reason,
                 .machine = host.machine,
                 .inputs = {{{"revision",
-                             static_cast<std::int64_t>(host.at.value())}}}});
+                             static_cast<std::int64_t>(host.at.number())}}}});
     };
     std::map<host_key, reported_host> current;
     for (const auto& [key, it] : known.hosts())
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -24,6 +24,10 @@
     // A peer_hello followed by a reader_announcement and a flag.
     peer_hello_with_reader,
     directory_delta,
+    // The messages above with positions in a later era than the first.
+    peer_hello_with_era,
+    directory_part_with_era,
+    directory_delta_with_era,
 };
 
 constexpr std::size_t endpoint_bytes = 6;
@@ -32,6 +36,7 @@
 constexpr std::size_t target_bytes = 12;
 constexpr std::size_t departed_bytes = 6;
 constexpr std::size_t host_bytes = 59;
+constexpr std::size_t era_bytes = 8;
 constexpr std::size_t host_key_bytes = 8;
 
 void put(byte_writer& out, const endpoint& it) {
@@ -156,11 +161,30 @@
     out.put_bytes(it.datagram);
 }
 
+bool has_later_era(revision it) {
+    return it.era() != first_era;
+}
+
+// Messages of the first era have types of their own.
+store_era take_later_era(byte_reader& in) {
+    const store_era era(in.take<std::uint64_t>());
+    if (era <= first_era)
+        in.reject();
+    return era;
+}
+
+type type_of(const peer_hello& it) {
+    if (!it.reader)
+        return type::peer_hello;
+    return has_later_era(it.as_of) ? type::peer_hello_with_era
+                                   : type::peer_hello_with_reader;
+}
+
 void write(byte_writer& out, const peer_hello& it) {
-    put_type(out, it.reader ? type::peer_hello_with_reader : type::peer_hello);
+    put_type(out, type_of(it));
     out.put(it.run.value());
     out.put(it.data_centre.value());
-    out.put(it.as_of.value());
+    out.put(it.as_of.number());
     out.put(it.digest);
     put_flag(out, it.reads_store);
     put_flag(out, it.is_reply);
@@ -176,31 +200,43 @@
         out.put(it.reader->count);
         put_flag(out, it.knows_departed);
     }
+    if (type_of(it) == type::peer_hello_with_era) {
+        out.put(it.as_of.era().value());
+        out.put(it.version);
+    }
 }
 
 void write(byte_writer& out, const directory_request&) {
     put_type(out, type::directory_request);
 }
 
-void write_host(byte_writer& out, const directory_view::host& it);
-directory_view::host read_host(byte_reader& in);
+void write_hosts(byte_writer& out, const std::vector<directory_view::host>& it,
+                 store_era era);
+std::vector<directory_view::host> read_hosts(byte_reader& in, store_era era);
 
 void write(byte_writer& out, const directory_delta& it) {
-    put_type(out, type::directory_delta);
-    out.put(it.as_of.value());
+    const store_era era = it.as_of.era();
+    put_type(out, has_later_era(it.as_of) ? type::directory_delta_with_era
+                                          : type::directory_delta);
+    if (has_later_era(it.as_of))
+        out.put(era.value());
+    out.put(it.as_of.number());
     out.put(it.base_digest);
     out.put(it.digest);
-    put_count(out, it.changed.size());
-    for (const auto& host : it.changed)
-        write_host(out, host);
+    write_hosts(out, it.changed, era);
     put_count(out, it.removed.size());
     for (const host_key key : it.removed)
         out.put(key.value());
 }
 
 void write(byte_writer& out, const directory_part& it) {
-    put_type(out, type::directory_part);
-    out.put(it.as_of.value());
+    if (has_later_era(it.as_of)) {
+        put_type(out, type::directory_part_with_era);
+        out.put(it.as_of.era().value());
+    } else {
+        put_type(out, type::directory_part);
+    }
+    out.put(it.as_of.number());
     out.put(it.digest);
     out.put(it.index);
     out.put(it.count);
@@ -279,21 +315,27 @@
     return it;
 }
 
-directory_delta read_directory_delta(byte_reader& in) {
+peer_hello read_peer_hello_with_era(byte_reader& in) {
+    peer_hello it = read_peer_hello_with_reader(in);
+    it.as_of = revision(it.as_of.number(), take_later_era(in));
+    it.version = in.take<std::uint64_t>();
+    return it;
+}
+
+directory_delta read_directory_delta(byte_reader& in, store_era era) {
     directory_delta it;
-    it.as_of = revision(in.take<std::uint64_t>());
+    it.as_of = revision(in.take<std::uint64_t>(), era);
     it.base_digest = in.take<std::uint64_t>();
     it.digest = in.take<std::uint64_t>();
-    for (auto n = in.take_count(host_bytes); n > 0; --n)
-        it.changed.push_back(read_host(in));
+    it.changed = read_hosts(in, era);
     for (auto n = in.take_count(host_key_bytes); n > 0; --n)
         it.removed.emplace_back(in.take<std::uint64_t>());
     return it;
 }
 
-directory_part read_directory_part(byte_reader& in) {
+directory_part read_directory_part(byte_reader& in, store_era era) {
     directory_part it;
-    it.as_of = revision(in.take<std::uint64_t>());
+    it.as_of = revision(in.take<std::uint64_t>(), era);
     it.digest = in.take<std::uint64_t>();
     it.index = in.take<std::uint16_t>();
     it.count = in.take<std::uint16_t>();
@@ -322,13 +364,22 @@
     case type::directory_request:
         return directory_request{};
     case type::directory_part:
-        return read_directory_part(in);
+        return read_directory_part(in, first_era);
     case type::peer_hello_with_reader:
         return read_peer_hello_with_reader(in);
     case type::directory_delta:
+        return read_directory_delta(in, first_era);
+    case type::peer_hello_with_era:
+        return read_peer_hello_with_era(in);
+    case type::directory_part_with_era: {
+        const store_era era = take_later_era(in);
+        return read_directory_part(in, era);
+    }
+    case type::directory_delta_with_era:
         break;
     }
-    return read_directory_delta(in);
+    const store_era era = take_later_era(in);
+    return read_directory_delta(in, era);
 }
 
 leaf::error_id reject(const char* reason) {
@@ -366,7 +417,7 @@
 }
 
 void write_host(byte_writer& out, const directory_view::host& it) {
-    out.put(it.at.value());
+    out.put(it.at.number());
     out.put(it.record.key.value());
     out.put(it.record.service.value());
     put(out, it.record.address);
@@ -392,6 +443,32 @@
     return it;
 }
 
+// Hosts that a restored store has not confirmed yet keep positions of earlier
+// eras.
+void write_hosts(byte_writer& out, const std::vector<directory_view::host>& it,
+                 store_era era) {
+    put_count(out, it.size());
+    for (const auto& host : it) {
+        if (era != first_era)
+            out.put(host.at.era().value());
+        write_host(out, host);
+    }
+}
+
+std::vector<directory_view::host> read_hosts(byte_reader& in, store_era era) {
+    std::vector<directory_view::host> out;
+    const bool has_eras = era != first_era;
+    for (auto n = in.take_count(host_bytes + (has_eras ? era_bytes : 0)); n > 0;
+         --n) {
+        const store_era at =
+            has_eras ? store_era(in.take<std::uint64_t>()) : first_era;
+        directory_view::host it = read_host(in);
+        it.at = revision(it.at.number(), at);
+        out.push_back(it);
+    }
+    return out;
+}
+
 } // namespace
 
 service_tag make_service_tag(service_id it) {
@@ -445,7 +522,7 @@
     byte_reader in(data);
     const auto kind = in.take<std::uint8_t>();
     if (kind < static_cast<std::uint8_t>(type::hello) ||
-        kind > static_cast<std::uint8_t>(type::directory_delta))
+        kind > static_cast<std::uint8_t>(type::directory_delta_with_era))
         return reject("unknown message type");
     message out = read(static_cast<type>(kind), in);
     if (!in.complete())
@@ -455,27 +532,29 @@
 
 bytes encode_view(const directory_view& it, bool with_routes) {
     byte_writer out;
-    out.put(it.as_of.value());
-    out.put(it.routing_at.value());
+    out.put(it.as_of.number());
+    out.put(it.routing_at.number());
+    if (has_later_era(it.as_of))
+        out.put(it.routing_at.era().value());
     put_flag(out, with_routes);
     if (with_routes)
         write_routing(out, it.routing);
-    put_count(out, it.hosts.size());
-    for (const auto& host : it.hosts)
-        write_host(out, host);
+    write_hosts(out, it.hosts, it.as_of.era());
     return out.take();
 }
 
-result<directory_view> decode_view(byte_view data) {
+result<directory_view> decode_view(byte_view data, store_era era) {
     byte_reader in(data);
     directory_view it;
-    it.as_of = revision(in.take<std::uint64_t>());
-    it.routing_at = revision(in.take<std::uint64_t>());
+    it.as_of = revision(in.take<std::uint64_t>(), era);
+    const auto routing_at = in.take<std::uint64_t>();
+    it.routing_at = revision(
+        routing_at,
+        era == first_era ? first_era : store_era(in.take<std::uint64_t>()));
     it.has_routes = take_flag(in);
     if (it.has_routes)
         it.routing = read_routing(in);
-    for (auto n = in.take_count(host_bytes); n > 0; --n)
-        it.hosts.push_back(read_host(in));
+    it.hosts = read_hosts(in, era);
     if (!in.complete())
         return reject("directory view has missing or trailing bytes");
     return it;
--- a/packages/core/src/relay/messages_test.cpp
+++ b/packages/core/src/relay/messages_test.cpp
@@ -22,8 +22,10 @@
         [](const failure&) { return false; });
 }
 
-directory_view::host make_host() {
-    return {revision(8),
+constexpr store_era later_era{3};
+
+directory_view::host make_host(store_era era = first_era) {
+    return {revision(8, era),
             {.key = host_key(5),
              .service = service_id(1),
              .address = {0x0a01000c, 8080},
@@ -72,7 +74,21 @@
                             .base_digest = 23,
                             .digest = 24,
                             .changed = {make_host()},
-                            .removed = {host_key(25)}}};
+                            .removed = {host_key(25)}},
+            peer_hello{.run = incarnation(10),
+                       .as_of = revision(11, later_era),
+                       .reader = reader_announcement{},
+                       .version = 26},
+            directory_part{
+                .as_of = revision(16, later_era), .count = 1, .content = {18}},
+            directory_delta{.as_of = revision(22, later_era),
+                            .changed = {make_host(), make_host(later_era)}}};
+}
+
+// Whether the process of a build that knows no eras accepts the message.
+bool has_type_without_era(const message& it) {
+    constexpr std::uint8_t last_type_without_era = 11;
+    return encode(it).front() <= last_type_without_era;
 }
 
 directory_view make_view() {
@@ -92,6 +108,10 @@
     CPPUNIT_TEST(rejects_truncated_and_extended_messages);
     CPPUNIT_TEST(random_bytes_do_not_crash_decoding);
     CPPUNIT_TEST(directory_view_round_trips);
+    CPPUNIT_TEST(directory_view_of_a_later_era_round_trips);
+    CPPUNIT_TEST(messages_of_the_first_era_are_unchanged);
+    CPPUNIT_TEST(messages_of_later_eras_have_types_of_their_own);
+    CPPUNIT_TEST(rejects_the_first_era_in_messages_of_later_eras);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -129,23 +149,72 @@
             accepts(noise);
             handle_failure(
                 [&]() -> result<void> {
-                    BOOST_LEAF_CHECK(decode_view(noise));
+                    BOOST_LEAF_CHECK(decode_view(noise, store_era(2)));
                     return {};
                 },
                 [](const failure&) {});
         }));
     }
 
-    void directory_view_round_trips() {
-        const directory_view view = make_view();
+    void directory_view_round_trips() { check_round_trip(make_view()); }
+
+    void directory_view_of_a_later_era_round_trips() {
+        directory_view view = make_view();
+        view.as_of = revision(9, later_era);
+        view.hosts.push_back(make_host(later_era));
+        check_round_trip(view);
+    }
+
+    // Guards against processes of the previous build that drop messages while
+    // a release is rolled out.
+    void messages_of_the_first_era_are_unchanged() {
+        const bytes delta = encode(directory_delta{
+            .as_of = revision(0x0102), .base_digest = 3, .digest = 4});
+        const bytes expected{11, 0, 0, 0, 0, 0, 0, 1, 2, 0, 0, 0, 0, 0, 0,
+                             0,  3, 0, 0, 0, 0, 0, 0, 0, 4, 0, 0, 0, 0};
+        CPPUNIT_ASSERT(delta == expected);
+        const bytes part = encode(directory_part{
+            .as_of = revision(5), .digest = 6, .index = 7, .count = 8});
+        const bytes expected_part{9, 0, 0, 0, 0, 0, 0, 0, 5, 0, 0,
+                                  0, 0, 0, 0, 0, 6, 0, 7, 0, 8};
+        CPPUNIT_ASSERT(part == expected_part);
+        CPPUNIT_ASSERT(has_type_without_era(
+            peer_hello{.reader = reader_announcement{}, .version = 9}));
+    }
+
+    // Guards against processes of the previous build that mistake a restored
+    // store's directory for an old one, or an old one for the newest.
+    void messages_of_later_eras_have_types_of_their_own() {
+        CPPUNIT_ASSERT(!has_type_without_era(
+            directory_delta{.as_of = revision(1, later_era)}));
+        CPPUNIT_ASSERT(!has_type_without_era(
+            directory_part{.as_of = revision(1, later_era)}));
+        CPPUNIT_ASSERT(!has_type_without_era(peer_hello{
+            .as_of = revision(1, later_era), .reader = reader_announcement{}}));
+    }
+
+    void rejects_the_first_era_in_messages_of_later_eras() {
+        bytes data = encode(directory_part{.as_of = revision(1, later_era)});
+        constexpr std::size_t last_byte_of_era = 8;
+        data[last_byte_of_era] = 1;
+        CPPUNIT_ASSERT(!accepts(data));
+    }
+
+private:
+    static void check_round_trip(const directory_view& view) {
         const bytes data = encode_view(view);
         handle_failure(
             [&]() -> result<void> {
-                BOOST_LEAF_AUTO(back, decode_view(data));
+                BOOST_LEAF_AUTO(back, decode_view(data, view.as_of.era()));
                 CPPUNIT_ASSERT(back.as_of == view.as_of);
                 CPPUNIT_ASSERT(back.routing.routes == view.routing.routes);
-                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, back.hosts.size());
-                CPPUNIT_ASSERT(back.hosts[0].record == view.hosts[0].record);
+                CPPUNIT_ASSERT(back.routing_at == view.routing_at);
+                CPPUNIT_ASSERT_EQUAL(view.hosts.size(), back.hosts.size());
+                for (std::size_t i = 0; i < view.hosts.size(); ++i) {
+                    CPPUNIT_ASSERT(back.hosts[i].at == view.hosts[i].at);
+                    CPPUNIT_ASSERT(back.hosts[i].record ==
+                                   view.hosts[i].record);
+                }
                 return {};
             },
             [](const failure& it) { CPPUNIT_FAIL(it.reason); });
--- a/packages/core/src/relay/peer_entries.cpp
+++ b/packages/core/src/relay/peer_entries.cpp
@@ -215,6 +215,7 @@
     sender.data_centre = hello.data_centre;
     sender.as_of = hello.as_of;
     sender.digest = hello.digest;
+    sender.version = hello.version;
     sender.reads_store = hello.reads_store;
     sender.predates_announcements = !hello.reader;
     sender.knows_departed = hello.knows_departed;
@@ -272,6 +273,12 @@
     send_(*source, directory_request{});
 }
 
+// A restored store may have lost a configuration that a peer still knows.
+bool peer_entries::is_newer(const peer& it, const directory& known) {
+    return (it.as_of > known.as_of() && !has_same_contents(it, known)) ||
+           it.version > known.version();
+}
+
 // Returns the peer with the newest directory, preferring those in the own data
 // centre.
 std::optional<machine_address> peer_entries::newer_peer(const directory& known,
@@ -279,8 +286,7 @@
     std::optional<machine_address> best;
     const peer* found = nullptr;
     for (const auto& [machine, it] : peers_) {
-        if (it.as_of <= known.as_of() || it.digest == known.digest() ||
-            now - it.heard_at > source_timeout)
+        if (!is_newer(it, known) || now - it.heard_at > source_timeout)
             continue;
         const bool nearer = it.data_centre == options_.data_centre;
         if (found == nullptr ||
@@ -300,11 +306,14 @@
 }
 
 void peer_entries::push(const directory& known, time_point now) {
-    if (!known.is_ready() || known.digest() == pushed_digest_ ||
+    const bool same_era = known.as_of().era() == pushed_era_;
+    if (!known.is_ready() || (same_era && known.digest() == pushed_digest_) ||
         now - pushed_at_ < options_.push_interval)
         return;
     const bool with_routes = known.routing_at() != pushed_routing_;
-    const auto delta = with_routes ? std::nullopt : delta_since_push(known);
+    const auto delta =
+        with_routes || !same_era ? std::nullopt : delta_since_push(known);
+    pushed_era_ = known.as_of().era();
     pushed_digest_ = known.digest();
     pushed_routing_ = known.routing_at();
     pushed_at_ = now;
@@ -312,7 +321,7 @@
     for (const auto& [key, it] : known.hosts())
         pushed_hosts_.emplace(key, it.at);
     for (const auto& [machine, it] : peers_) {
-        if (!is_near(it) || it.digest == known.digest())
+        if (!is_near(it) || has_same_contents(it, known))
             continue;
         if (delta && !it.predates_announcements)
             send_(machine, *delta);
@@ -369,7 +378,7 @@
     return std::ranges::any_of(peers_, [&](const auto& it) {
         const peer& one = it.second;
         return one.reads_store && one.data_centre == options_.data_centre &&
-               now - one.heard_at <= recent && one.digest == known.digest();
+               now - one.heard_at <= recent && has_same_contents(one, known);
     });
 }
 
@@ -411,7 +420,7 @@
     sender.receiving = {};
     return handle_failure(
         [&]() -> result<std::optional<directory_view>> {
-            BOOST_LEAF_AUTO(view, decode_view(whole));
+            BOOST_LEAF_AUTO(view, decode_view(whole, part.as_of.era()));
             return std::optional(std::move(view));
         },
         [](const failure&) { return std::optional<directory_view>(); });
@@ -476,7 +485,10 @@
                      .entries = recently_heard(now),
                      .departed = own.departed,
                      .reader = reader_announcement{},
-                     .knows_departed = own.knows_departed};
+                     .knows_departed = own.knows_departed,
+                     .version = own.known.as_of().era() == first_era
+                                    ? 0
+                                    : own.known.version()};
     if (hello.reads_store)
         hello.reader = {options_.self, options_.run, announcements_};
     else if (election_.has_reader(own_standing(now), now))
--- a/packages/core/src/relay/store_reader_test.cpp
+++ b/packages/core/src/relay/store_reader_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST_SUITE(store_reader_test);
     CPPUNIT_TEST(lists_once_and_watches_from_there);
     CPPUNIT_TEST(lists_again_when_history_is_lost);
+    CPPUNIT_TEST(a_listing_of_a_restored_store_sets_the_revision_back);
     CPPUNIT_TEST(an_error_keeps_the_revision);
     CPPUNIT_TEST(backs_off_while_the_store_fails);
     CPPUNIT_TEST(changes_in_quick_succession_share_calls);
@@ -43,6 +44,17 @@
         CPPUNIT_ASSERT(it.next(start).what == kind::listing);
     }
 
+    void a_listing_of_a_restored_store_sets_the_revision_back() {
+        store_reader it({}, 1);
+        it.on_listing(revision(40));
+        it.on_history_lost();
+        it.on_listing(revision(30, store_era(2)));
+        CPPUNIT_ASSERT(it.next(start).after == revision(30, store_era(2)));
+        // A peer that has not noticed the restore does not move it.
+        it.resume(revision(45));
+        CPPUNIT_ASSERT(it.next(start).after == revision(30, store_era(2)));
+    }
+
     void an_error_keeps_the_revision() {
         store_reader it({}, 1);
         it.on_listing(revision(40));
--- a/packages/testing/include/arbutusport/emulator/simulated_store.hpp
+++ b/packages/testing/include/arbutusport/emulator/simulated_store.hpp
@@ -1,5 +1,6 @@
 // Contents of the platform's store in simulations: one routing document and the
-// registrations of hosts, with a revision for each change.
+// registrations of hosts, with a revision for each change and an era for each
+// restore.
 #pragma once
 
 #include <arbutusport/relay/directory.hpp>
@@ -18,14 +19,16 @@
     relay::directory_change remove(relay::host_key key);
     /// @brief All registrations expire, in one revision.
     void expire_registrations();
-    /// @brief Returns to the contents and the revision of `backup`.
+    /// @brief Returns to the contents and the revision of `backup`, in the next
+    /// era.
     void restore(const simulated_store& backup);
 
     bool contains(const relay::host_record& it) const;
-    relay::revision as_of() const { return relay::revision(revision_); }
+    relay::revision as_of() const { return relay::revision(revision_, era_); }
     std::vector<relay::directory_change> items() const;
 
 private:
+    relay::store_era era_ = relay::first_era;
     std::uint64_t revision_ = 0;
     std::optional<relay::directory_change> routing_;
     std::map<relay::host_key, relay::directory_change> hosts_;
--- a/packages/testing/src/emulator/simulated_store.cpp
+++ b/packages/testing/src/emulator/simulated_store.cpp
@@ -29,7 +29,17 @@
 }
 
 void simulated_store::restore(const simulated_store& backup) {
+    const relay::store_era next(era_.value() + 1);
     *this = backup;
+    era_ = next;
+    // All items of a response are of the era that the response states.
+    const auto move_to_era = [&](directory_change& it) {
+        it.at = relay::revision(it.at.number(), era_);
+    };
+    if (routing_)
+        move_to_era(*routing_);
+    for (auto& [key, it] : hosts_)
+        move_to_era(it);
 }
 
 bool simulated_store::contains(const relay::host_record& it) const {
