Use the longest idle timeout that entries send to a host process

Callers would see a live flow reset: a host's process took the idle timeout of the last hello, whatever configuration its sender had. With one outdated entry, a restarted process claimed after the shorter time that it knows all flows of its host, and entries reset a flow that it had not seen.

Cause of the same class: what arrives last counts as newest. The hello names no version, and a new message type would be dropped by processes of the previous build; the longest value of the entries that are heard is safe and needs none.

host_relay_test::an_outdated_entry_does_not_shorten_the_idle_timeout fails before (denial after 4 s instead of 15 s) and passes; all tests of the relay pass.

--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -25,8 +25,8 @@
     /// from an earlier process: a process is restarted no sooner than half a
     /// second after its end.
     std::uint64_t restart_gap_ms = 400;
-    /// Replaced by the configured value once an entry has sent it.
-    duration idle_timeout = std::chrono::seconds(15);
+    /// Used until an entry has sent the configured value.
+    duration initial_idle_timeout = std::chrono::seconds(15);
     /// An accepted flow that the client does not confirm within this time is
     /// removed. If several hosts accept copies of an opening packet, the client
     /// confirms only one of them.
@@ -123,6 +123,8 @@
         time_point heard_at;
         // The last entry that a report to this one listed.
         machine_address last_listed;
+        // 0 until known.
+        duration idle_timeout{};
     };
 
     void on_opening(machine_address from, const segment& packet,
@@ -142,6 +144,8 @@
                   machine_address additional_entry = {});
     void on_query(machine_address from, const flow_query& it, time_point now);
     void on_registration(registration it, time_point now);
+    void set_idle_timeout(entry& sender, duration it);
+    void update_idle_timeout();
     bool is_registered_ready(time_point now) const;
     void set_state(host_state new_state, time_point now);
     void end_all_flows(time_point now);
@@ -161,6 +165,8 @@
     std::unordered_map<flow_key, flow_state> flows_;
     std::unordered_map<flow_key, pending_delivery> pending_deliveries_;
     std::map<machine_address, entry> entries_;
+    // The longest one of `entries_`, once an entry has sent one.
+    duration idle_timeout_;
     load_meter load_;
     host_state state_ = host_state::alive;
     bool is_stopping_ = false;
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -3,6 +3,7 @@
 #include <arbutusport/relay/host_relay.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace arbutusport::relay {
 
@@ -32,12 +33,11 @@
     entry& sender = entries_[from];
     sender.data_centre = hello_message->data_centre;
     sender.heard_at = now;
-    if (hello_message->idle_timeout > duration::zero())
-        options_.idle_timeout = hello_message->idle_timeout;
+    set_idle_timeout(sender, hello_message->idle_timeout);
     on_registration(hello_message->registered, now);
     if (hello_message->host_started.value() + options_.restart_gap_ms >=
         options_.started.value())
-        flows_complete_since_ = now - options_.idle_timeout;
+        flows_complete_since_ = now - idle_timeout_;
     load_report report = make_report(now);
     report.entries = next_listed_entries(sender, now);
     hooks_.send(from, report);
@@ -64,6 +64,21 @@
         hooks_.send(from, denial);
 }
 
+// An entry may have an outdated configuration. The longest idle timeout is
+// used, because a shorter one would disown flows that are still in use.
+void host_relay::set_idle_timeout(entry& sender, duration it) {
+    if (it > duration::zero() && std::exchange(sender.idle_timeout, it) != it)
+        update_idle_timeout();
+}
+
+void host_relay::update_idle_timeout() {
+    duration longest{};
+    for (const auto& [machine, it] : entries_)
+        longest = std::max(longest, it.idle_timeout);
+    if (longest > duration::zero())
+        idle_timeout_ = longest;
+}
+
 // A drain reaches entries at different times, so an older `ready` must not
 // override `draining`; a drain is never revoked.
 void host_relay::on_registration(registration it, time_point now) {
@@ -104,7 +119,7 @@
         const bool closed = it.client_closed && it.host_closed;
         if ((closed && silent > options_.closed_flow_retention) ||
             (!it.confirmed && silent > options_.confirm_timeout) ||
-            silent > 2 * options_.idle_timeout)
+            silent > 2 * idle_timeout_)
             ended.push_back(flow);
     }
     for (const flow_key& flow : ended)
@@ -112,6 +127,7 @@
     std::erase_if(entries_, [&](const auto& it) {
         return now - it.second.heard_at > options_.entry_timeout;
     });
+    update_idle_timeout();
 }
 
 void host_relay::erase(const flow_key& flow, time_point now) {
@@ -153,7 +169,7 @@
 
 // Within the idle timeout every live flow has sent at least one packet.
 bool host_relay::knows_all_flows(time_point now) const {
-    return now - flows_complete_since_ >= options_.idle_timeout;
+    return now - flows_complete_since_ >= idle_timeout_;
 }
 
 owned_flows host_relay::make_owned_flows() const {
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -17,7 +17,8 @@
 
 host_relay::host_relay(host_relay_options options, host_relay_hooks hooks,
                        time_point now)
-    : options_(options), hooks_(std::move(hooks)), flows_complete_since_(now),
+    : options_(options), hooks_(std::move(hooks)),
+      idle_timeout_(options.initial_idle_timeout), flows_complete_since_(now),
       last_sweep_at_(now) {}
 
 void host_relay::on_entry(machine_address from, const segment& packet,
@@ -241,7 +242,7 @@
 void host_relay::on_host_accepted(time_point now) {
     // This process has missed no flow of a host that has just started.
     if (state_ != host_state::alive)
-        flows_complete_since_ = now - options_.idle_timeout;
+        flows_complete_since_ = now - idle_timeout_;
     set_state(host_state::alive, now);
 }
 
