Follow no reader that has not noticed a restore of the store

During a release, callers of entries of the new build would be refused a route added after a restore: an entry of the previous build that reads the store for its data centre takes the restored store for an old one, and entries of the new build, which drop its outdated directory, went on following it.

Hellos with a directory of an earlier era no longer announce a reader, nor pass one on.

restored_store_test::no_entry_follows_a_reader_that_knows_no_eras fails before (version 1 instead of 2) and passes. All tests of the relay pass.

--- a/packages/core/include/arbutusport/relay/peer_entries.hpp
+++ b/packages/core/include/arbutusport/relay/peer_entries.hpp
@@ -168,7 +168,7 @@
     void announce_reading(const local_status& own, time_point now);
     void repeat_initial_hellos(const local_status& own, time_point now);
     void on_reader_state(machine_address from, const peer_hello& hello,
-                         time_point now);
+                         const local_status& own, time_point now);
     void report_back(machine_address from, peer& sender, time_point now);
     std::vector<machine_address> recently_heard(time_point now) const;
     void request_directory(const local_status& own, time_point now);
--- a/packages/core/src/relay/peer_entries.cpp
+++ b/packages/core/src/relay/peer_entries.cpp
@@ -221,7 +221,7 @@
     sender.knows_departed = hello.knows_departed;
     sender.unanswered_hellos = 0;
     if (hello.data_centre == options_.data_centre)
-        on_reader_state(from, hello, now);
+        on_reader_state(from, hello, own, now);
     if (!hello.is_reply)
         send_hello(from, sender, make_hello(own, true, now));
     request_directory(own, now);
@@ -239,7 +239,14 @@
 }
 
 void peer_entries::on_reader_state(machine_address from,
-                                   const peer_hello& hello, time_point now) {
+                                   const peer_hello& hello,
+                                   const local_status& own, time_point now) {
+    // Nobody can follow a reader that has not noticed a restore, as processes
+    // of builds that know no eras never do.
+    if (hello.as_of.era() < own.known.as_of().era()) {
+        election_.on_withdrawn(from, now);
+        return;
+    }
     if (hello.reads_store) {
         const bool has_own = hello.reader && hello.reader->reader == from;
         election_.on_announced(has_own ? *hello.reader
--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -81,6 +81,9 @@
     /// host does.
     std::size_t owning_host(std::size_t flow) const;
 
+    /// @brief From now on the entry behaves as one of a build that knows no
+    /// eras of the store.
+    void disregard_eras(std::size_t entry);
     void kill_entry(std::size_t entry);
     void start_entry(std::size_t entry);
     /// @brief Drops all traffic between the entry and entries or hosts; clients
@@ -175,6 +178,10 @@
     void tick();
     void publish_registration(std::size_t host);
     void deliver_listing(std::size_t entry);
+    relay::directory_change change_for(std::size_t entry,
+                                       relay::directory_change it) const;
+    bool understands(relay::machine_address machine,
+                     const relay::message& message) const;
     void send_change(const relay::directory_change& change);
     relay::host_record record_of(std::size_t host) const;
     void send_to_host(relay::machine_address from, relay::machine_address to,
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -234,7 +234,8 @@
                                const relay::message& message) {
     count_message(from, to, message);
     const auto delay = next_transfer_delay();
-    if (!delay || is_isolated(from) || is_isolated(to))
+    if (!delay || is_isolated(from) || is_isolated(to) ||
+        !understands(to, message))
         return;
     schedule(*delay, [this, from, to, message] {
         if (to.value() >= first_host_address) {
--- a/packages/testing/src/emulator/relay_world_faults.cpp
+++ b/packages/testing/src/emulator/relay_world_faults.cpp
@@ -103,7 +103,8 @@
             if (!it.process || !it.has_store_access || !it.is_reader)
                 return;
             ++store_answers_;
-            it.process->on_changes(change.at, {change}, time());
+            const auto seen = change_for(i, change);
+            it.process->on_changes(seen.at, {seen}, time());
         });
 }
 
@@ -138,6 +139,26 @@
             publish_registration(i);
 }
 
+void relay_world::disregard_eras(std::size_t entry) {
+    entries_[entry]->disregards_eras = true;
+}
+
+relay::directory_change
+relay_world::change_for(std::size_t entry, relay::directory_change it) const {
+    if (entries_[entry]->disregards_eras)
+        it.at = relay::revision(it.at.number());
+    return it;
+}
+
+// Processes drop messages of unknown types.
+bool relay_world::understands(machine_address machine,
+                              const relay::message& message) const {
+    constexpr std::uint8_t last_type_without_era = 11;
+    const std::size_t entry = machine.value() - first_entry_address;
+    return entry >= entries_.size() || !entries_[entry]->disregards_eras ||
+           relay::encode(message).front() <= last_type_without_era;
+}
+
 void relay_world::deliver_listing(std::size_t entry) {
     entry_state& it = *entries_[entry];
     if (!it.process)
@@ -155,7 +176,13 @@
         return;
     }
     ++store_answers_;
-    it.process->on_listing(store_.as_of(), store_.items(), time());
+    auto items = store_.items();
+    for (auto& item : items)
+        item = change_for(entry, std::move(item));
+    const auto as_of = it.disregards_eras
+                           ? relay::revision(store_.as_of().number())
+                           : store_.as_of();
+    it.process->on_listing(as_of, std::move(items), time());
 }
 
 std::uint64_t relay_world::flows_placed_at(std::size_t host) const {
--- a/packages/testing/src/emulator/relay_world_state.hpp
+++ b/packages/testing/src/emulator/relay_world_state.hpp
@@ -98,6 +98,7 @@
     bool has_store_access = true;
     bool is_reader = true;
     bool isolated = false;
+    bool disregards_eras = false;
     machine_address machine;
     message_count traffic;
 };
--- a/packages/testing/src/emulator/restored_store_test.cpp
+++ b/packages/testing/src/emulator/restored_store_test.cpp
@@ -57,6 +57,8 @@
     CPPUNIT_TEST(a_departed_host_is_not_named_by_an_entry_that_started_later);
     CPPUNIT_TEST(a_draining_host_that_is_ready_in_the_copy_is_not_used);
     CPPUNIT_TEST(a_host_that_expired_before_the_copy_returned_is_used_again);
+    CPPUNIT_TEST(no_entry_follows_a_reader_that_knows_no_eras);
+    CPPUNIT_TEST(a_started_entry_of_two_builds_serves_the_change);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -240,6 +242,51 @@
         open_flows(world, 30);
         CPPUNIT_ASSERT(world.flows_placed_at(1) > placed);
     }
+
+    // Guards against a release in turn during which entries follow a reader of
+    // the previous build, which takes the restored store for an old one.
+    void no_entry_follows_a_reader_that_knows_no_eras() {
+        for (std::size_t reader = 0; reader < 4; ++reader) {
+            relay_world world({.entries = 4, .seed = reader + 1});
+            world.disregard_eras(reader);
+            world.disregard_eras((reader + 1) % 4);
+            world.run_until(startup_time);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.reader_count());
+            world.back_up_store();
+            for (std::size_t i = 3; i < 6; ++i)
+                world.drain_host(i);
+            world.run_for(milliseconds(100));
+            lose_and_restore(world, 4);
+            world.run_for(seconds(2));
+            world.add_route(added_port);
+            world.run_for(config_limit);
+            for (std::size_t i = 2; i < 4; ++i)
+                CPPUNIT_ASSERT_EQUAL(
+                    std::uint64_t{2},
+                    world.directory_of((reader + i) % 4).version());
+        }
+    }
+
+    // Guards against an entry that adopts the history before the restore from
+    // its peers of the previous build when it starts.
+    void a_started_entry_of_two_builds_serves_the_change() {
+        relay_world world({.entries = 4});
+        world.disregard_eras(0);
+        world.disregard_eras(1);
+        world.run_until(startup_time);
+        world.back_up_store();
+        for (std::size_t i = 3; i < 6; ++i)
+            world.drain_host(i);
+        world.run_for(milliseconds(100));
+        lose_and_restore(world, 4);
+        world.kill_entry(3);
+        world.run_for(milliseconds(500));
+        world.start_entry(3);
+        world.run_for(seconds(1));
+        world.add_route(added_port);
+        world.run_for(config_limit);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, world.directory_of(3).version());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(restored_store_test);
