Test that a restored platform with a raised epoch is read as a whole

The configuration of the project's own platform is ordered by (epoch, revision), so the fault of the restored store cannot occur there once operators raise the epoch. No test guarded that records of equal revision are read again; the new test passes on the present code.

--- a/packages/core/src/config/config_sync_test.cpp
+++ b/packages/core/src/config/config_sync_test.cpp
@@ -79,6 +79,7 @@
     CPPUNIT_TEST(retries_the_read_if_a_record_is_older);
     CPPUNIT_TEST(a_refused_generation_is_not_requested_again);
     CPPUNIT_TEST(an_older_generation_does_not_replace_a_newer_one);
+    CPPUNIT_TEST(a_restored_platform_is_read_as_a_whole);
     CPPUNIT_TEST(decoder_refuses_malformed_messages);
     CPPUNIT_TEST(corrupted_messages_do_not_change_the_configuration);
     CPPUNIT_TEST_SUITE_END();
@@ -160,6 +161,28 @@
         CPPUNIT_ASSERT((sync->current()->gen == generation{1, 3}));
     }
 
+    // Guards against a set mixed from two histories: a restored platform, whose
+    // epoch was raised, uses a revision again for another record.
+    void a_restored_platform_is_read_as_a_whole() {
+        time_point now{};
+        const auto sync = make_started(now);
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{1},
+            begin_record_read(*sync, head_of(make_set(5), {1, 5}), now).size());
+        sync->on_records({make_set(5)[1]}, now);
+        CPPUNIT_ASSERT((sync->current()->gen == generation{1, 5}));
+        auto restored = make_set(1);
+        restored[0].json =
+            R"({"schema":2,"kind":"fleet","name":"main","epoch":2})";
+        const auto list =
+            begin_record_read(*sync, head_of(restored, {2, 2}), now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, list.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                             std::get<fetch_records>(list[0]).keys.size());
+        sync->on_records(restored, now);
+        CPPUNIT_ASSERT((sync->current()->gen == generation{2, 2}));
+    }
+
     void decoder_refuses_malformed_messages() {
         const auto accepts = [](byte_view data) {
             return handle_failure(
