Explore message orders around a restore of the store

Three entries, two of which learn of the restore from the reader: with every choice of two late and one lost of the first 24 messages, all entries have the configuration that follows within 3 s.

--- a/packages/testing/src/emulator/relay_explorer_test.cpp
+++ b/packages/testing/src/emulator/relay_explorer_test.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(a_flow_moves_to_another_entry_after_opening);
     CPPUNIT_TEST(flows_of_a_draining_host_survive_a_restart_of_all_processes);
     CPPUNIT_TEST(flows_survive_a_reader_failure_during_registration);
+    CPPUNIT_TEST(a_route_added_after_a_restore_is_served_by_all_entries);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -224,6 +225,31 @@
                         return request_failure(world, flow, other);
                     }));
     }
+
+    // The store returns to a copy, in which revisions are given out again. Two
+    // of the entries learn of it only from the reader.
+    void a_route_added_after_a_restore_is_served_by_all_entries() {
+        constexpr std::uint16_t added_port = 444;
+        assert_no_failure(
+            explore({.world = {.entries = 3, .hosts = 3},
+                     .extra_delay = milliseconds(300)},
+                    [](relay_world& world, const auto& start_deviating) {
+                        world.back_up_store();
+                        world.drain_host(2);
+                        world.run_for(milliseconds(100));
+                        start_deviating();
+                        world.restore_store();
+                        world.run_for(milliseconds(50));
+                        world.add_route(added_port);
+                        world.run_for(seconds(3));
+                        std::string out;
+                        for (std::size_t i = 0; i < 3; ++i)
+                            if (world.directory_of(i).version() != 2)
+                                out += "entry " + std::to_string(i) +
+                                       " lacks the added route\n";
+                        return out;
+                    }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(relay_explorer_test);
