Drop a waiting record when the restored store removes it

A follower that had set aside a record of the copy used its host some seconds later, although its reader had removed the record in a change or no longer listed it. Callers could be sent to a host that had left.

--- a/packages/core/include/arbutusport/relay/directory.hpp
+++ b/packages/core/include/arbutusport/relay/directory.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -186,6 +187,7 @@
     bool is_in_lapse_grace(time_point now) const;
     bool may_be_from_copy(revision at, time_point now) const;
     bool is_outdated(revision at, const host_record& record) const;
+    void forget_outdated_except(const std::set<host_key>& listed);
     void expire_removals(time_point now);
     void update_derived();
     std::uint64_t hash_of_position(std::uint64_t seed, revision at) const;
--- a/packages/core/src/relay/directory.cpp
+++ b/packages/core/src/relay/directory.cpp
@@ -5,7 +5,6 @@
 #include <arbutusport/relay/directory.hpp>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace arbutusport::relay {
@@ -31,6 +30,7 @@
             missing.push_back(key);
     for (const host_key key : missing)
         remove_host(key, now);
+    forget_outdated_except(listed);
     as_of_ = as_of;
     update_derived();
     return true;
@@ -85,6 +85,7 @@
     }
     for (const host_key key : missing)
         erase_host(key, now);
+    forget_outdated_except(listed);
     as_of_ = view.as_of;
     update_derived();
     return true;
@@ -96,8 +97,10 @@
         return false;
     for (const auto& it : delta.changed)
         apply_host(it.at, it.record, now);
-    for (const host_key key : delta.removed)
+    for (const host_key key : delta.removed) {
+        outdated_.erase(key);
         erase_host(key, now);
+    }
     update_derived();
     // If the result differs, the revision stays, so that a whole view of the
     // peer can be adopted.
@@ -203,6 +206,11 @@
     hosts_.erase(it);
 }
 
+void directory::forget_outdated_except(const std::set<host_key>& listed) {
+    std::erase_if(outdated_,
+                  [&](const auto& it) { return !listed.contains(it.first); });
+}
+
 void directory::expire_removals(time_point now) {
     std::erase_if(removed_, [&](const auto& it) {
         return now - it.second.removed_at > options_.removal_retention;
--- a/packages/core/src/relay/directory_test.cpp
+++ b/packages/core/src/relay/directory_test.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST(versions_order_configurations_across_restores);
     CPPUNIT_TEST(a_newer_configuration_is_taken_from_an_older_view);
     CPPUNIT_TEST(an_earlier_start_in_the_copy_waits_for_heartbeats);
+    CPPUNIT_TEST(a_waiting_record_that_the_store_removes_never_counts);
     CPPUNIT_TEST(a_registration_after_the_restore_counts_at_once);
     CPPUNIT_TEST(the_newest_host_at_an_address_outlasts_a_restore);
     CPPUNIT_TEST(followers_keep_hosts_that_a_new_reader_does_not_know);
@@ -304,6 +305,36 @@
         CPPUNIT_ASSERT(started_at(it, 1) == unix_milliseconds(400));
     }
 
+    // Guards against a departed host that is used some seconds after a restore,
+    // although the store has removed its record.
+    void a_waiting_record_that_the_store_removes_never_counts() {
+        const auto make_waiting = [] {
+            directory it;
+            it.adopt_listing(revision(11), {routing(3, 1), started(11, 1, 500)},
+                             start);
+            it.apply({revision(12), host_removed{host_key(1)}}, start);
+            it.advance(revision(12));
+            it.adopt_listing(revision(5, second_era),
+                             {moved(started(4, 1, 400))}, start);
+            return it;
+        };
+        directory by_listing = make_waiting();
+        by_listing.adopt_listing(revision(6, second_era), {}, start);
+        directory by_view = make_waiting();
+        directory_view view = by_listing.view();
+        by_view.adopt_view(view, start);
+        directory by_delta = make_waiting();
+        by_delta.adopt_delta({.as_of = revision(6, second_era),
+                              .base_digest = by_delta.digest(),
+                              .digest = by_delta.digest(),
+                              .removed = {host_key(1)}},
+                             start);
+        for (directory* it : {&by_listing, &by_view, &by_delta}) {
+            it->on_tick(start + seconds(5));
+            CPPUNIT_ASSERT(it->hosts().empty());
+        }
+    }
+
     // A host may start again while the clock of its machine is behind.
     void a_registration_after_the_restore_counts_at_once() {
         directory it = make_directory();
