Split the directory out of the relay's messages and of its peer table

directory_codec has the encoding of the directory, peer_directories the transfer between entries; the simulated store is named after the relay's world, to which it belongs.

--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -2,7 +2,7 @@
 // into several messages.
 //
 // Positions in the store's first era are encoded as by processes that know no
-// eras. Messages with positions in later eras have types of their own, which
+// eras. Messages with positions in other eras have types of their own, which
 // such processes drop: they would mistake a restored store for an old one.
 #pragma once
 
@@ -152,7 +152,7 @@
     /// The sender has run long enough to know every process whose host is no
     /// longer registered. Sent only together with `reader`.
     bool knows_departed = false;
-    /// Version of the configuration. Sent only in later eras than the first, in
+    /// Version of the configuration. Sent only in other eras than the first, in
     /// which a position does not imply it.
     std::uint64_t version = 0;
 };
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -1,6 +1,6 @@
 // Encoding of the relay's messages: one type byte, then the fields.
 
-#include "byte_codec.hpp"
+#include "directory_codec.hpp"
 
 #include <arbutusport/base/hash.hpp>
 #include <arbutusport/relay/messages.hpp>
@@ -24,31 +24,16 @@
     // A peer_hello followed by a reader_announcement and a flag.
     peer_hello_with_reader,
     directory_delta,
-    // The messages above with positions in a later era than the first.
+    // The messages above with positions in another era than the first.
     peer_hello_with_era,
     directory_part_with_era,
     directory_delta_with_era,
 };
 
-constexpr std::size_t endpoint_bytes = 6;
 constexpr std::size_t flow_bytes = 2 * endpoint_bytes + 8;
-constexpr std::size_t min_route_bytes = endpoint_bytes + 2;
-constexpr std::size_t target_bytes = 12;
 constexpr std::size_t departed_bytes = 6;
-constexpr std::size_t host_bytes = 59;
-constexpr std::size_t era_bytes = 8;
 constexpr std::size_t host_key_bytes = 8;
 
-void put(byte_writer& out, const endpoint& it) {
-    out.put(it.address);
-    out.put(it.port);
-}
-
-endpoint take_endpoint(byte_reader& in) {
-    const auto address = in.take<std::uint32_t>();
-    return {address, in.take<std::uint16_t>()};
-}
-
 void put(byte_writer& out, const flow_key& it) {
     put(out, it.client);
     put(out, it.service);
@@ -59,10 +44,6 @@
     return {client, take_endpoint(in)};
 }
 
-void put_count(byte_writer& out, std::size_t n) {
-    out.put(static_cast<std::uint16_t>(n));
-}
-
 void put(byte_writer& out, const std::vector<machine_address>& list) {
     put_count(out, list.size());
     for (const machine_address it : list)
@@ -80,14 +61,6 @@
     out.put(static_cast<std::uint8_t>(it));
 }
 
-void put_flag(byte_writer& out, bool it) {
-    out.put(static_cast<std::uint8_t>(it));
-}
-
-bool take_flag(byte_reader& in) {
-    return in.take<std::uint8_t>() != 0;
-}
-
 // A value above `last` is rejected.
 template <class Enum>
 Enum take_enum(byte_reader& in, Enum last) {
@@ -161,12 +134,8 @@
     out.put_bytes(it.datagram);
 }
 
-bool has_later_era(revision it) {
-    return it.era() != first_era;
-}
-
 // Messages of the first era have types of their own.
-store_era take_later_era(byte_reader& in) {
+store_era take_stated_era(byte_reader& in) {
     const store_era era(in.take<std::uint64_t>());
     if (era <= first_era)
         in.reject();
@@ -176,8 +145,8 @@
 type type_of(const peer_hello& it) {
     if (!it.reader)
         return type::peer_hello;
-    return has_later_era(it.as_of) ? type::peer_hello_with_era
-                                   : type::peer_hello_with_reader;
+    return states_era(it.as_of) ? type::peer_hello_with_era
+                                : type::peer_hello_with_reader;
 }
 
 void write(byte_writer& out, const peer_hello& it) {
@@ -210,15 +179,11 @@
     put_type(out, type::directory_request);
 }
 
-void write_hosts(byte_writer& out, const std::vector<directory_view::host>& it,
-                 store_era era);
-std::vector<directory_view::host> read_hosts(byte_reader& in, store_era era);
-
 void write(byte_writer& out, const directory_delta& it) {
     const store_era era = it.as_of.era();
-    put_type(out, has_later_era(it.as_of) ? type::directory_delta_with_era
-                                          : type::directory_delta);
-    if (has_later_era(it.as_of))
+    put_type(out, states_era(it.as_of) ? type::directory_delta_with_era
+                                       : type::directory_delta);
+    if (states_era(it.as_of))
         out.put(era.value());
     out.put(it.as_of.number());
     out.put(it.base_digest);
@@ -230,7 +195,7 @@
 }
 
 void write(byte_writer& out, const directory_part& it) {
-    if (has_later_era(it.as_of)) {
+    if (states_era(it.as_of)) {
         put_type(out, type::directory_part_with_era);
         out.put(it.as_of.era().value());
     } else {
@@ -317,7 +282,7 @@
 
 peer_hello read_peer_hello_with_era(byte_reader& in) {
     peer_hello it = read_peer_hello_with_reader(in);
-    it.as_of = revision(it.as_of.number(), take_later_era(in));
+    it.as_of = revision(it.as_of.number(), take_stated_era(in));
     it.version = in.take<std::uint64_t>();
     return it;
 }
@@ -372,103 +337,16 @@
     case type::peer_hello_with_era:
         return read_peer_hello_with_era(in);
     case type::directory_part_with_era: {
-        const store_era era = take_later_era(in);
+        const store_era era = take_stated_era(in);
         return read_directory_part(in, era);
     }
     case type::directory_delta_with_era:
         break;
     }
-    const store_era era = take_later_era(in);
+    const store_era era = take_stated_era(in);
     return read_directory_delta(in, era);
 }
 
-leaf::error_id reject(const char* reason) {
-    return fail("decode_relay_message", "", reason);
-}
-
-void write_routing(byte_writer& out, const routing_document& it) {
-    out.put(it.version);
-    out.put(static_cast<std::uint64_t>(it.idle_timeout.count()));
-    put_count(out, it.routes.size());
-    for (const route& one : it.routes) {
-        put(out, one.address);
-        put_count(out, one.targets.size());
-        for (const weighted_service& target : one.targets) {
-            out.put(target.service.value());
-            out.put(target.weight);
-        }
-    }
-}
-
-routing_document read_routing(byte_reader& in) {
-    routing_document it;
-    it.version = in.take<std::uint64_t>();
-    it.idle_timeout =
-        duration(static_cast<duration::rep>(in.take<std::uint64_t>()));
-    for (auto n = in.take_count(min_route_bytes); n > 0; --n) {
-        route one{.address = take_endpoint(in)};
-        for (auto m = in.take_count(target_bytes); m > 0; --m) {
-            const service_id service(in.take<std::uint64_t>());
-            one.targets.push_back({service, in.take<std::uint32_t>()});
-        }
-        it.routes.push_back(std::move(one));
-    }
-    return it;
-}
-
-void write_host(byte_writer& out, const directory_view::host& it) {
-    out.put(it.at.number());
-    out.put(it.record.key.value());
-    out.put(it.record.service.value());
-    put(out, it.record.address);
-    out.put(it.record.data_centre.value());
-    put_flag(out, it.record.draining);
-    out.put(it.record.slots);
-    out.put(static_cast<std::uint64_t>(it.record.warmup_left.count()));
-    out.put(it.record.started.value());
-}
-
-directory_view::host read_host(byte_reader& in) {
-    directory_view::host it;
-    it.at = revision(in.take<std::uint64_t>());
-    it.record.key = host_key(in.take<std::uint64_t>());
-    it.record.service = service_id(in.take<std::uint64_t>());
-    it.record.address = take_endpoint(in);
-    it.record.data_centre = data_centre_id(in.take<std::uint64_t>());
-    it.record.draining = take_flag(in);
-    it.record.slots = in.take<std::uint32_t>();
-    it.record.warmup_left =
-        duration(static_cast<duration::rep>(in.take<std::uint64_t>()));
-    it.record.started = unix_milliseconds(in.take<std::uint64_t>());
-    return it;
-}
-
-// Hosts that a restored store has not confirmed yet keep positions of earlier
-// eras.
-void write_hosts(byte_writer& out, const std::vector<directory_view::host>& it,
-                 store_era era) {
-    put_count(out, it.size());
-    for (const auto& host : it) {
-        if (era != first_era)
-            out.put(host.at.era().value());
-        write_host(out, host);
-    }
-}
-
-std::vector<directory_view::host> read_hosts(byte_reader& in, store_era era) {
-    std::vector<directory_view::host> out;
-    const bool has_eras = era != first_era;
-    for (auto n = in.take_count(host_bytes + (has_eras ? era_bytes : 0)); n > 0;
-         --n) {
-        const store_era at =
-            has_eras ? store_era(in.take<std::uint64_t>()) : first_era;
-        directory_view::host it = read_host(in);
-        it.at = revision(it.at.number(), at);
-        out.push_back(it);
-    }
-    return out;
-}
-
 } // namespace
 
 service_tag make_service_tag(service_id it) {
@@ -530,34 +408,4 @@
     return out;
 }
 
-bytes encode_view(const directory_view& it, bool with_routes) {
-    byte_writer out;
-    out.put(it.as_of.number());
-    out.put(it.routing_at.number());
-    if (has_later_era(it.as_of))
-        out.put(it.routing_at.era().value());
-    put_flag(out, with_routes);
-    if (with_routes)
-        write_routing(out, it.routing);
-    write_hosts(out, it.hosts, it.as_of.era());
-    return out.take();
-}
-
-result<directory_view> decode_view(byte_view data, store_era era) {
-    byte_reader in(data);
-    directory_view it;
-    it.as_of = revision(in.take<std::uint64_t>(), era);
-    const auto routing_at = in.take<std::uint64_t>();
-    it.routing_at = revision(
-        routing_at,
-        era == first_era ? first_era : store_era(in.take<std::uint64_t>()));
-    it.has_routes = take_flag(in);
-    if (it.has_routes)
-        it.routing = read_routing(in);
-    it.hosts = read_hosts(in, era);
-    if (!in.complete())
-        return reject("directory view has missing or trailing bytes");
-    return it;
-}
-
 } // namespace arbutusport::relay
--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -4,7 +4,7 @@
 // host receives a flow of another service.
 #pragma once
 
-#include <arbutusport/emulator/simulated_store.hpp>
+#include <arbutusport/emulator/relay_world_store.hpp>
 #include <arbutusport/relay/entry_relay.hpp>
 #include <arbutusport/relay/host_relay.hpp>
 
@@ -206,8 +206,8 @@
     relay_world_options options_;
     duration now_{};
     std::uint64_t random_;
-    simulated_store store_;
-    simulated_store backup_;
+    relay_world_store store_;
+    relay_world_store backup_;
     // The operator's newest configuration.
     relay::routing_document routing_;
     std::vector<std::unique_ptr<entry_state>> entries_;
--- a/packages/testing/include/arbutusport/emulator/simulated_store.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world_store.hpp
@@ -12,7 +12,7 @@
 namespace arbutusport::emulator {
 
 /// @brief A copy of an object is a backup of the store's contents.
-class simulated_store {
+class relay_world_store {
 public:
     relay::directory_change put(const relay::host_record& it);
     relay::directory_change put(const relay::routing_document& it);
@@ -21,7 +21,7 @@
     void expire_registrations();
     /// @brief Returns to the contents and the revision of `backup`, in the next
     /// era.
-    void restore(const simulated_store& backup);
+    void restore(const relay_world_store& backup);
 
     bool contains(const relay::host_record& it) const;
     relay::revision as_of() const { return relay::revision(revision_, era_); }
--- a/packages/testing/src/emulator/simulated_store.cpp
+++ b/packages/testing/src/emulator/relay_world_store.cpp
@@ -1,34 +1,34 @@
 // Changes of the simulated store's contents.
 
-#include <arbutusport/emulator/simulated_store.hpp>
+#include <arbutusport/emulator/relay_world_store.hpp>
 
 namespace arbutusport::emulator {
 
 using relay::directory_change;
 
-directory_change simulated_store::put(const relay::host_record& it) {
+directory_change relay_world_store::put(const relay::host_record& it) {
     ++revision_;
     return hosts_[it.key] = {as_of(), it};
 }
 
-directory_change simulated_store::put(const relay::routing_document& it) {
+directory_change relay_world_store::put(const relay::routing_document& it) {
     ++revision_;
     routing_ = {as_of(), it};
     return *routing_;
 }
 
-directory_change simulated_store::remove(relay::host_key key) {
+directory_change relay_world_store::remove(relay::host_key key) {
     ++revision_;
     hosts_.erase(key);
     return {as_of(), relay::host_removed{key}};
 }
 
-void simulated_store::expire_registrations() {
+void relay_world_store::expire_registrations() {
     ++revision_;
     hosts_.clear();
 }
 
-void simulated_store::restore(const simulated_store& backup) {
+void relay_world_store::restore(const relay_world_store& backup) {
     const relay::store_era next(era_.value() + 1);
     *this = backup;
     era_ = next;
@@ -42,13 +42,13 @@
         move_to_era(it);
 }
 
-bool simulated_store::contains(const relay::host_record& it) const {
+bool relay_world_store::contains(const relay::host_record& it) const {
     const auto found = hosts_.find(it.key);
     return found != hosts_.end() &&
            std::get<relay::host_record>(found->second.what) == it;
 }
 
-std::vector<directory_change> simulated_store::items() const {
+std::vector<directory_change> relay_world_store::items() const {
     std::vector<directory_change> out;
     if (routing_)
         out.push_back(*routing_);
