Accept every era but the first in messages that state one

Entries would drop each other's messages at a store that counts its eras from 0: such positions were encoded with their era, but the decoder took only eras above the first. Found by reading; no site has such a store. The new test relay_messages_test::era_zero_round_trips fails before (rejected) and passes.

--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -137,7 +137,7 @@
 // Messages of the first era have types of their own.
 store_era take_stated_era(byte_reader& in) {
     const store_era era(in.take<std::uint64_t>());
-    if (era <= first_era)
+    if (era == first_era)
         in.reject();
     return era;
 }
--- a/packages/core/src/relay/messages_test.cpp
+++ b/packages/core/src/relay/messages_test.cpp
@@ -111,6 +111,7 @@
     CPPUNIT_TEST(directory_view_of_a_later_era_round_trips);
     CPPUNIT_TEST(messages_of_the_first_era_are_unchanged);
     CPPUNIT_TEST(messages_of_later_eras_have_types_of_their_own);
+    CPPUNIT_TEST(era_zero_round_trips);
     CPPUNIT_TEST(rejects_the_first_era_in_messages_of_later_eras);
     CPPUNIT_TEST_SUITE_END();
 
@@ -193,6 +194,16 @@
             .as_of = revision(1, later_era), .reader = reader_announcement{}}));
     }
 
+    // A store may count its eras from 0.
+    void era_zero_round_trips() {
+        directory_view view = make_view();
+        view.as_of = revision(9, store_era(0));
+        check_round_trip(view);
+        const bytes data =
+            encode(directory_part{.as_of = revision(1, store_era(0))});
+        CPPUNIT_ASSERT(accepts(data));
+    }
+
     void rejects_the_first_era_in_messages_of_later_eras() {
         bytes data = encode(directory_part{.as_of = revision(1, later_era)});
         constexpr std::size_t last_byte_of_era = 8;
