Show when processes reached each step of a recovery

arbutusctl recovery reads logs, or directories of them, line by line and shows for each step of a restart or of a restore of the store when the first, half, 99% and the last process reached it, with the newest configuration as a step of its own, as text or JSON.

Not covered: readiness, which is not logged, and which peer a directory came from.

--- a/packages/arbutusctl/include/arbutusport/ctl/flow_timeline.hpp
+++ b/packages/arbutusctl/include/arbutusport/ctl/flow_timeline.hpp
@@ -2,35 +2,16 @@
 // offsets between processes are estimated from the logs and corrected.
 #pragma once
 
+#include <arbutusport/ctl/log_records.hpp>
+
 #include <cstdint>
 #include <iosfwd>
 #include <map>
-#include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace arbutusport::ctl {
 
-/// @brief One parsed log line.
-struct log_record {
-    /// Microseconds since the Unix epoch on the clock of `process`.
-    std::int64_t at_us = 0;
-    std::string process;
-    std::string event;
-    std::string flow;
-    /// Address of the other machine in the event.
-    std::string machine;
-    /// All other fields, unchanged.
-    std::string rest;
-};
-
-/// @brief Parses a log line of an arbutusport process and ignores any text
-/// before its time. Empty if that fails; `why` is then the reason, or empty if
-/// the line belongs to another program.
-std::optional<log_record> parse_log_line(std::string_view line,
-                                         std::string& why);
-
 /// @brief Offset of a process's clock from the clock of the reference process.
 struct clock_offset {
     std::int64_t ahead_us = 0;
@@ -46,7 +27,7 @@
 clock_offsets(const std::vector<log_record>& records);
 
 struct timeline_options {
-    /// Log files; "-" is standard input.
+    /// Log files and directories of them; "-" is standard input.
     std::vector<std::string> logs;
     /// Flow as it appears in logs, CLIENT>SERVICE, or a part of it.
     std::string flow;
--- a/packages/arbutusctl/src/arbutusctl_main.cpp
+++ b/packages/arbutusctl/src/arbutusctl_main.cpp
@@ -2,6 +2,7 @@
 
 #include <arbutusport/ctl/commands.hpp>
 #include <arbutusport/ctl/flow_timeline.hpp>
+#include <arbutusport/ctl/recovery.hpp>
 
 #include <boost/program_options.hpp>
 
@@ -24,6 +25,7 @@
   arbutusctl diff    --from DIR --to DIR
   arbutusctl explain --records DIR --service NAME --client IP:PORT
   arbutusctl explain --log FILE... --flow CLIENT>SERVICE   (timeline of a flow)
+  arbutusctl recovery --log PATH... [--from TIME]   (steps after a restart)
   arbutusctl status  --process IP:PORT...   (control endpoints)
   arbutusctl report  --process IP:PORT...   (metrics endpoints of hosts)
 
@@ -35,6 +37,7 @@
   arbutusctl explain --records published --service participa \
       --client 127.0.0.9:5000
   arbutusctl explain --log edge-*.log side-*.log --flow "198.18.0.1:8443"
+  arbutusctl recovery --log logs/ --from 2026-01-24T09:36:12Z --output json
   arbutusctl status --process 127.0.1.1:7002 127.0.1.2:7002 --output json
   arbutusctl report --process 127.0.2.1:7003 --plot burn.gp && gnuplot burn.gp
 
@@ -159,6 +162,26 @@
     return ctl::explain(options, line.format(), std::cout);
 }
 
+int run_recovery(const arguments& args) {
+    ctl::recovery_options options;
+    std::string from;
+    command_line line("recovery");
+    line.add()(
+        "log", po::value(&options.logs)->multitoken()->required(),
+        "logs of processes, or directories of them; - is standard input")(
+        "from", po::value(&from),
+        "ignore lines before this time (ISO 8601), such as that of the kill");
+    if (!line.parse(args))
+        return ctl::exit_success;
+    if (!from.empty()) {
+        options.from_us = ctl::parse_time(from);
+        if (!options.from_us)
+            throw usage_error("--from: found " + from +
+                              ", allowed a time such as 2026-01-24T09:36:12Z");
+    }
+    return ctl::print_recovery(options, line.format(), std::cout);
+}
+
 void add_processes(command_line& line, std::vector<std::string>& processes,
                    unsigned& timeout_ms, const char* text) {
     line.add()("process", po::value(&processes)->multitoken()->required(),
@@ -195,8 +218,9 @@
 }
 
 const std::map<std::string, int (*)(const arguments&)> commands{
-    {"check", run_check},   {"diff", run_diff},     {"explain", run_explain},
-    {"status", run_status}, {"report", run_report},
+    {"check", run_check},     {"diff", run_diff},
+    {"explain", run_explain}, {"recovery", run_recovery},
+    {"status", run_status},   {"report", run_report},
 };
 
 int run(const arguments& args) {
@@ -209,7 +233,8 @@
     const auto command = commands.find(args.front());
     if (command == commands.end())
         throw usage_error("unknown command " + args.front() +
-                          "; allowed check, diff, explain, status, report");
+                          "; allowed check, diff, explain, recovery, "
+                          "status, report");
     return command->second({args.begin() + 1, args.end()});
 }
 
--- a/packages/arbutusctl/src/ctl/flow_timeline.cpp
+++ b/packages/arbutusctl/src/ctl/flow_timeline.cpp
@@ -1,14 +1,9 @@
-// Reads logs, estimates clock offsets and prints the timeline of a flow.
+// Estimates clock offsets and prints the timeline of a flow.
 
 #include <arbutusport/ctl/commands.hpp>
 #include <arbutusport/ctl/flow_timeline.hpp>
 
-#include <Poco/DateTimeFormat.h>
-#include <Poco/DateTimeFormatter.h>
-#include <Poco/DateTimeParser.h>
-
 #include <algorithm>
-#include <fstream>
 #include <iostream>
 #include <set>
 
@@ -16,62 +11,10 @@
 
 namespace {
 
-constexpr std::string_view time_key = "time=";
 constexpr std::int64_t us_per_ms = 1000;
 // Packet delay between processes stays below this; larger differences are
 // clock offsets.
 constexpr std::int64_t min_clock_offset_us = 1'000'000;
-// Upper limit of printed messages about lines that cannot be parsed.
-constexpr std::size_t max_printed_errors = 5;
-
-// Removes the next key=value from `text`; a quoted value may contain spaces.
-std::optional<std::pair<std::string, std::string>>
-take_field(std::string_view& text) {
-    text.remove_prefix(std::min(text.find_first_not_of(' '), text.size()));
-    const auto equals = text.find('=');
-    if (text.empty() || equals == std::string_view::npos)
-        return std::nullopt;
-    std::pair<std::string, std::string> out{text.substr(0, equals), ""};
-    text.remove_prefix(equals + 1);
-    if (text.empty() || text.front() != '"') {
-        const auto end = std::min(text.find(' '), text.size());
-        out.second = text.substr(0, end);
-        text.remove_prefix(end);
-        return out;
-    }
-    std::size_t i = 1;
-    for (; i < text.size() && text[i] != '"'; ++i) {
-        if (text[i] == '\\' && i + 1 < text.size())
-            ++i;
-        out.second += text[i];
-    }
-    if (i >= text.size())
-        return std::nullopt;
-    text.remove_prefix(i + 1);
-    return out;
-}
-
-std::optional<std::int64_t> parse_time(const std::string& text) {
-    // POCO also accepts texts that are not times.
-    constexpr std::string_view shape = "0000-00-00T00:00:00";
-    if (text.size() < shape.size())
-        return std::nullopt;
-    for (std::size_t i = 0; i < shape.size(); ++i)
-        if (shape[i] == '0' ? text[i] < '0' || text[i] > '9'
-                            : text[i] != shape[i])
-            return std::nullopt;
-    int zone = 0;
-    Poco::DateTime it;
-    if (!Poco::DateTimeParser::tryParse(
-            Poco::DateTimeFormat::ISO8601_FRAC_FORMAT, text, it, zone))
-        return std::nullopt;
-    return it.timestamp().epochMicroseconds();
-}
-
-std::string format_time(std::int64_t at_us) {
-    return Poco::DateTimeFormatter::format(
-        Poco::Timestamp(at_us), Poco::DateTimeFormat::ISO8601_FRAC_FORMAT);
-}
 
 // Maps addresses to processes, from the lines that processes log when they
 // start.
@@ -112,38 +55,6 @@
     return out;
 }
 
-void read_log(std::istream& in, const std::string& name,
-              std::vector<log_record>& out, std::size_t& errors) {
-    std::string line;
-    for (std::size_t n = 1; std::getline(in, line); ++n) {
-        std::string why;
-        if (auto it = parse_log_line(line, why)) {
-            out.push_back(std::move(*it));
-            continue;
-        }
-        if (why.empty() || ++errors > max_printed_errors)
-            continue;
-        std::cerr << "arbutusctl: " << name << ':' << n << ": " << why << '\n';
-    }
-}
-
-bool read_logs(const std::vector<std::string>& names,
-               std::vector<log_record>& out, std::size_t& errors) {
-    for (const std::string& name : names) {
-        if (name == "-") {
-            read_log(std::cin, "standard input", out, errors);
-            continue;
-        }
-        std::ifstream in(name);
-        if (!in) {
-            std::cerr << "arbutusctl: " << name << ": cannot be read\n";
-            return false;
-        }
-        read_log(in, name, out, errors);
-    }
-    return true;
-}
-
 void print_clocks(const std::map<std::string, clock_offset>& clocks,
                   const std::set<std::string>& involved, std::ostream& out) {
     for (const std::string& it : involved) {
@@ -169,44 +80,6 @@
 
 } // namespace
 
-std::optional<log_record> parse_log_line(std::string_view line,
-                                         std::string& why) {
-    const auto begin = line.find(time_key);
-    if (begin == std::string_view::npos) {
-        if (line.find("event=") != std::string_view::npos)
-            why = "an event without a time";
-        return std::nullopt;
-    }
-    std::string_view rest = line.substr(begin);
-    log_record out;
-    std::optional<std::int64_t> at;
-    while (const auto it = take_field(rest)) {
-        const auto& [key, value] = *it;
-        if (key == "time")
-            at = parse_time(value);
-        else if (key == "process")
-            out.process = value;
-        else if (key == "event")
-            out.event = value;
-        else if (key == "flow")
-            out.flow = value;
-        else if (key == "machine")
-            out.machine = value;
-        else if (key != "level")
-            out.rest += ' ' + key + '=' + value;
-    }
-    if (!at)
-        why = "the time cannot be read";
-    else if (out.event.empty())
-        why = "a time without an event";
-    else if (rest.find_first_not_of(' ') != std::string_view::npos)
-        why = "broken off at \"" + std::string(rest) + '"';
-    if (!why.empty())
-        return std::nullopt;
-    out.at_us = *at;
-    return out;
-}
-
 std::map<std::string, clock_offset>
 clock_offsets(const std::vector<log_record>& records) {
     auto compared = compare_clocks(records);
@@ -245,12 +118,9 @@
 
 int print_flow_timeline(const timeline_options& options, std::ostream& out) {
     std::vector<log_record> records;
-    std::size_t errors = 0;
-    if (!read_logs(options.logs, records, errors))
+    if (!read_logs(options.logs,
+                   [&](log_record&& it) { records.push_back(std::move(it)); }))
         return exit_findings;
-    if (errors > 0)
-        std::cerr << "arbutusctl: " << errors
-                  << " lines could not be parsed and are omitted\n";
     const auto clocks = clock_offsets(records);
     for (log_record& it : records)
         if (const auto known = clocks.find(it.process); known != clocks.end())
