Add a failing test of a reader that pauses between two watches

Callers would see a flow reset whose host serves: a host registered while the reader of another data centre paused between two watches, and that reader took its directory for current when a packet of the flow arrived.

--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -127,6 +127,9 @@
     /// @brief The entry loses access to the store.
     void disconnect_store(std::size_t entry);
     void reconnect_store(std::size_t entry);
+    /// @brief Changes of the store reach the entry this much later, as between
+    /// two watches.
+    void delay_changes(std::size_t entry, duration delay);
     /// @brief All registrations expire and no entry can read the store, as in a
     /// store outage.
     void expire_all_registrations();
--- a/packages/testing/src/emulator/relay_store_test.cpp
+++ b/packages/testing/src/emulator/relay_store_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(a_rejected_entry_waits_before_it_reads_again);
     CPPUNIT_TEST(an_isolated_entry_is_not_ready);
     CPPUNIT_TEST(unknown_route_without_store_is_not_refused);
+    CPPUNIT_TEST(a_reader_between_two_watches_resets_no_flow);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -160,6 +161,29 @@
         CPPUNIT_ASSERT(world.is_entry_ready(0));
     }
 
+    // Guards against the reset of a flow at a host that has just registered:
+    // a reader that pauses between two watches does not know the host yet, but
+    // takes its directory for current (hunt on consulta-sul,
+    // deploy/days/replace_everything.toml, seed 959589738886).
+    void a_reader_between_two_watches_resets_no_flow() {
+        constexpr milliseconds watch_interval{700};
+        relay_world world({.entries = 2, .hosts = 4, .data_centres = 2});
+        for (std::size_t i = 0; i < 4; ++i)
+            world.unregister_host(i);
+        world.run_until(seconds(10));
+        world.delay_changes(1, watch_interval);
+        world.boot_host(2);
+        world.run_for(milliseconds(50));
+        const auto flow = world.open_flow(0);
+        world.run_for(milliseconds(50));
+        CPPUNIT_ASSERT(world.is_open(flow));
+        world.send_request(flow, 1);
+        world.run_for(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             join_lines(world.found_violations()));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.answers(flow));
+    }
+
     void unknown_route_without_store_is_not_refused() {
         constexpr std::uint16_t unknown_port = 444;
         relay_world world({.entries = 1});
--- a/packages/testing/src/emulator/relay_world_faults.cpp
+++ b/packages/testing/src/emulator/relay_world_faults.cpp
@@ -63,6 +63,10 @@
         entries_[entry]->process->on_store_error(time());
 }
 
+void relay_world::delay_changes(std::size_t entry, duration delay) {
+    entries_[entry]->change_delay = delay;
+}
+
 void relay_world::reconnect_store(std::size_t entry) {
     entries_[entry]->has_store_access = true;
     deliver_listing(entry);
@@ -98,7 +102,7 @@
 
 void relay_world::send_change(const relay::directory_change& change) {
     for (std::size_t i = 0; i < entries_.size(); ++i)
-        schedule(options_.delay, [this, i, change] {
+        schedule(options_.delay + entries_[i]->change_delay, [this, i, change] {
             entry_state& it = *entries_[i];
             if (!it.process || !it.has_store_access || !it.is_reader)
                 return;
--- a/packages/testing/src/emulator/relay_world_state.hpp
+++ b/packages/testing/src/emulator/relay_world_state.hpp
@@ -99,6 +99,7 @@
     bool is_reader = true;
     bool isolated = false;
     bool disregards_eras = false;
+    duration change_delay{};
     machine_address machine;
     message_count traffic;
 };
