--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -98,8 +98,10 @@
         self.items = {}
         self.events = []
         self.links = {}
-        # Links whose machine waits in a watch, with the revision.
+        # Links whose machine waits in a watch, with the connection's number.
         self.watching = {}
+        # When a watch of a link was answered last.
+        self.answered_at = {}
 
     def add_link(self, name, address):
         self.links[name] = Link(self, name, address)
@@ -175,3 +177,4 @@
                     self.changed.wait(left)
             finally:
                 self.watching.pop(link.name, None)
+                self.answered_at[link.name] = time.monotonic()
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -428,9 +428,9 @@
             time.sleep(0.02)
         raise CannotRun(f"not exactly one entry of {zone} watches the store")
 
-    def small_site(self, services=("participa", "acervo")):
-        """The machines of consulta-sul: 6 entries in 3 zones, 10 hosts."""
-        for zone, count in zip(self.zones, (3, 2, 1)):
+    def small_site(self, services=("participa", "acervo"), edges=(3, 2, 1)):
+        """The machines of a small site: entries in 3 zones, and 10 hosts."""
+        for zone, count in zip(self.zones, edges):
             for i in range(count):
                 self.add_entry(f"edge-{zone}-{i + 1}", zone)
         places = [(self.zones[i], services[0]) for i in (0, 0, 0, 1, 1, 2, 2)]
