--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,5 @@
-"""A host starts on a machine whose clock is ahead, and the clock jumps back.
-The process beside the host is killed and started again. It takes itself for
-older than the host and denies the flows that opened before."""
+"""Configurations come in quick succession. Then the open connections to the
+store go silent for good, and one more configuration is acknowledged."""
 
 import os
 import sys
@@ -9,91 +8,112 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins"))
 import wire  # noqa: E402
-from world import (RESTART_S, STABILITY_S, CannotRun,  # noqa: E402
+from world import (CONFIG_APPLY_S, STABILITY_S, CannotRun,  # noqa: E402
                    run_case)
 
-ZONES = ("poa-a", "poa-b", "cxs-a")
-ROUTE = ("198.18.0.1", 8443)
-CLOCK_AHEAD_MS = 2400
-IDLE_MS = 15000
-FLOWS = 60
+ZONES = ("nl-mid-a", "nl-mid-b", "nl-mid-c")
+# Dose of config_storm: for_s 2.0, gap_s 0.08.
+STORM_S, STORM_GAP_S = 2.0, 0.08
+OLD_ROUTE, NEW_ROUTE = ("198.18.0.3", 8443), ("198.18.0.4", 8443)
+# Flows whose handling at an entry is later than this are judged. In touch
+# again: StabilityWindowMs after the connections went silent.
+SLACK_S = 0.02
 
 
 def play(world):
-    world.small_site()
-    world.write_config([world.route("r-1", *ROUTE, "participa"),
-                        world.route("r-2", "198.18.0.2", 8443, "acervo")],
-                       IDLE_MS)
+    world.small_site(("studio", "stalen"), (2, 2, 1))
+    base = [world.route("r-1", "198.18.0.1", 8443, "studio"),
+            world.route("r-2", "198.18.0.2", 8443, "stalen"),
+            world.route("r-old", *OLD_ROUTE, "studio")]
+    world.write_config(base)
     world.start()
-    time.sleep(5)
+    time.sleep(6)
+    readers = [world.reader_of(zone) for zone in ZONES]
     client = world.add_client()
-    service = (wire.ip_number(ROUTE[0]), ROUTE[1])
-    disturbed_at = []
 
-    def on_system_reset(flow, packet, now):
-        for host in world.hosts.values():
-            if (flow.host_seq is not None and
-                    host.holds(flow.key, flow.host_seq) and
-                    host.flows[flow.key].opened_at is not None and
-                    (not disturbed_at or
-                     now > disturbed_at[-1] + STABILITY_S)):
-                world.broken("FLOW", f"the client got a reset for {flow.name}, "
-                             f"which is open at host {host.name}, which lives "
-                             "and did not send it; idle for "
-                             f"{now - flow.idle_since:.1f} s")
+    storm_end = world.now() + STORM_S
+    extra = []
+    silent_at = None
+    while silent_at is None:
+        if world.now() > storm_end:
+            break
+        extra.append(world.route(f"r-s{len(extra)}", "198.18.1.1",
+                                 9000 + len(extra), "studio"))
+        world.write_config(base + extra)
+        next_at = world.now() + STORM_GAP_S
+        while world.now() < next_at and silent_at is None:
+            now = world.now()
+            answered = [now - world.store.answered_at.get(m.name, 0)
+                        for m in readers]
+            # All readers were answered just now, and none asks again yet.
+            if (now > storm_end - STORM_S / 2 and not world.store.watching
+                    and 0.02 < min(answered) and max(answered) < 0.3):
+                silent_at = now
+            time.sleep(0.002)
+    if silent_at is None:
+        raise CannotRun("the readers never paused")
+    if world.trouble:
+        world.store.hush([m.name for m in world.entries])
+        world.record("open connections to the store are silent from now on")
+    acknowledged = world.write_config(
+        [r for r in base if r["Name"] != "r-old"] + extra +
+        [world.route("r-new", *NEW_ROUTE, "studio")])
+    judged_from = max(acknowledged + CONFIG_APPLY_S,
+                      silent_at + STABILITY_S) + SLACK_S
+    world.record(f"requests are judged from "
+                 f"{judged_from - world.started:.3f} on")
+    opened_at = {}
 
-    world.on_system_reset_hook = on_system_reset
+    def on_system_reset(flow, packet, now):
+        sent = opened_at.get(flow.key)
+        if flow.key[1][0] == wire.ip_number(NEW_ROUTE[0]) and \
+                flow.opened_at is None and sent >= judged_from:
+            world.broken("CONFIG", f"{flow.name}, sent "
+                         f"{sent - acknowledged:.2f} s after the "
+                         "acknowledgement of its route, was refused by "
+                         f"{flow.entry_name}")
 
-    # release: a new host starts, with its machine and the node beside it.
-    machine = world.add_side("side-11", ZONES[0], "participa")
-    began = world.now()
-    host = world.do(lambda now: world.boot_host("i-11", machine, "participa"))
-    if world.trouble:
-        # The host has read the clock of its machine, which is ahead.
-        host.born += CLOCK_AHEAD_MS
-        world.record(f"the clock of i-11's machine is {CLOCK_AHEAD_MS} ms "
-                     "ahead while the host starts")
-    machine.start()
-    world.register(host)
+    def on_run(host, key, request, now):
+        sent = opened_at.get(key)
+        if key[1][0] == wire.ip_number(OLD_ROUTE[0]) and \
+                sent is not None and sent >= judged_from:
+            world.broken("CONFIG", f"{request}, sent "
+                         f"{sent - acknowledged:.2f} s after the "
+                         "acknowledgement that dropped its route, was run by "
+                         f"{host.name}")
 
-    # Clients open flows and send a request on each.
-    flows = []
+    world.on_system_reset_hook = on_system_reset
+    world.on_run_hook = on_run
+    number = [0]
+    stop_at = acknowledged + 7
 
-    def open_flow(now):
-        if len(flows) >= FLOWS:
+    # "A small number of flows are sent directly to each node that is ready.
+    # These flows use routes that were just added, routes that were just
+    # removed."
+    def test_entries(now):
+        if now > stop_at:
             return
-        flow = client.flow(ZONES[0], service, f"flow-{len(flows)}")
-        flow.idle_since = now
-        flows.append(flow)
+        for machine in world.entries:
+            for host, port in (OLD_ROUTE, NEW_ROUTE):
+                number[0] += 1
+                flow = client.flow(machine.zone, (wire.ip_number(host), port),
+                                   f"flow-{number[0]}")
+                flow.direct_to, flow.entry_name = machine.ip, machine.name
+                opened_at[flow.key] = now
+                flow.open(now)
 
-        def ask(t, flow=flow):
-            if flow.state == "open":
-                flow.idle_since = t
-                flow.ask(f"request-{flow.name}-1", t)
-        flow.open(now)
-        world.at(now + 0.05, ask)
-        world.at(now + 0.02, open_flow)
-    world.at(began + 0.4, open_flow)
-    time.sleep(max(0.0, began + 1.9 - world.now()))
-    if world.trouble:
-        world.record("the clock of i-11's machine jumps back")
-        machine.kill()
-        disturbed_at.append(world.now())
-        time.sleep(RESTART_S)
-        machine.start()
-        disturbed_at.append(world.now())
-    # A pause on the flows, shorter than IdleTimeoutMs.
-    time.sleep(STABILITY_S + 1.5)
-    held = sum(1 for f in flows if host.holds(f.key, f.host_seq))
-    for flow in flows:
-        def ask_again(now, flow=flow):
-            if flow.state == "open":
-                flow.ask(f"request-{flow.name}-2", now)
-        world.call(ask_again)
-    time.sleep(3)
-    world.record(f"{held} flows were open at i-11")
-    if held < 3:
-        raise CannotRun("too few flows at the new host")
+                def ask(t, flow=flow):
+                    if flow.state == "open":
+                        flow.ask(f"request-{flow.name}", t)
+                flow.on_answer = lambda f, *_: world.at(
+                    world.now() + 0.05, lambda t, f=f: f.close(t))
+                world.at(now + 0.04, ask)
+        world.at(now + 0.05, test_entries)
+
+    world.at(judged_from - 0.5, test_entries)
+    time.sleep(max(0.0, stop_at + 0.5 - world.now()))
+    if number[0] < 50:
+        raise CannotRun("too few flows")
 
 
 run_case(os.path.join(HERE, "record.txt"), ZONES, play)
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -187,6 +187,8 @@
         self.on_run_hook = None
         self.on_opened_hook = None
         self.runs = {}
+        # The host that took the opening packet of a flow last.
+        self.takers = {}
         self.stop_request = False
         self.network = self._free_network(tries)
         self.store = Store(self.record)
@@ -235,9 +237,13 @@
     def on_host_took(self, host, key, packet, now):
         self.record(f"host {host.name} took the opening packet of "
                     f"{self.label(key)}")
+        self.takers[key] = host
         if self.on_took_hook:
             self.on_took_hook(host, key, now)
 
+    def taker_ip(self, key):
+        return self.takers[key].ip if key in self.takers else None
+
     def on_bounced(self, host, key, now):
         self.record(f"host {host.name} bounced a packet of {self.label(key)}")
 
