--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -361,6 +361,8 @@
         host = Host(self, name, service, machine.ip, self.ports.app,
                     self.ports.outbound, work_s=work_s)
         host.zone, host.machine = machine.zone, machine
+        # Where others reach the machine; a proxy may stand there.
+        host.public_ip = machine.ip
         host.born = int(time.time() * 1000)
         host.seq_number = 0
         host.registered = False
@@ -370,7 +372,8 @@
 
     def entry_of(self, host):
         return {"Service": host.service,
-                "Address": f"{host.ip}:{self.ports.app}", "Zone": host.zone,
+                "Address": f"{host.public_ip}:{self.ports.app}",
+                "Zone": host.zone,
                 "Version": "v1", "Slots": host.slots, "State": host.state,
                 "WarmupLeftMs": 0, "Seq": host.seq_number, "born": host.born}
 
