--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,119 +1,108 @@
-"""Configurations come in quick succession. Then the open connections to the
-store go silent for good, and one more configuration is acknowledged."""
+"""A client's opening packet reaches a host, whose answer is lost. The next copy
+goes through another data centre and opens the flow at another host. The first
+host crashes. Entries that know only its announcement reset the flow."""
 
 import os
+import signal
 import sys
 import time
+from collections import Counter
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins"))
 import wire  # noqa: E402
-from world import (CONFIG_APPLY_S, STABILITY_S, CannotRun,  # noqa: E402
+from world import (RESTART_S, STABILITY_S, CannotRun,  # noqa: E402
                    run_case)
 
-ZONES = ("nl-mid-a", "nl-mid-b", "nl-mid-c")
-# Dose of config_storm: for_s 2.0, gap_s 0.08.
-STORM_S, STORM_GAP_S = 2.0, 0.08
-OLD_ROUTE, NEW_ROUTE = ("198.18.0.3", 8443), ("198.18.0.4", 8443)
-# Flows whose handling at an entry is later than this are judged. In touch
-# again: StabilityWindowMs after the connections went silent.
-SLACK_S = 0.02
+ZONES = ("poa-a", "poa-b", "cxs-a")
+ROUTE = ("198.18.0.1", 8443)
 
 
 def play(world):
-    world.small_site(("studio", "stalen"), (2, 2, 1))
-    base = [world.route("r-1", "198.18.0.1", 8443, "studio"),
-            world.route("r-2", "198.18.0.2", 8443, "stalen"),
-            world.route("r-old", *OLD_ROUTE, "studio")]
-    world.write_config(base)
+    world.small_site()
+    world.write_config([world.route("r-1", *ROUTE, "participa"),
+                        world.route("r-2", "198.18.0.2", 8443, "acervo")])
     world.start()
-    time.sleep(6)
-    readers = [world.reader_of(zone) for zone in ZONES]
+    time.sleep(STABILITY_S + 1)
+    service = (wire.ip_number(ROUTE[0]), ROUTE[1])
     client = world.add_client()
-
-    storm_end = world.now() + STORM_S
-    extra = []
-    silent_at = None
-    while silent_at is None:
-        if world.now() > storm_end:
-            break
-        extra.append(world.route(f"r-s{len(extra)}", "198.18.1.1",
-                                 9000 + len(extra), "studio"))
-        world.write_config(base + extra)
-        next_at = world.now() + STORM_GAP_S
-        while world.now() < next_at and silent_at is None:
-            now = world.now()
-            answered = [now - world.store.answered_at.get(m.name, 0)
-                        for m in readers]
-            # All readers were answered just now, and none asks again yet.
-            if (now > storm_end - STORM_S / 2 and not world.store.watching
-                    and 0.02 < min(answered) and max(answered) < 0.3):
-                silent_at = now
-            time.sleep(0.002)
-    if silent_at is None:
-        raise CannotRun("the readers never paused")
-    if world.trouble:
-        world.store.hush([m.name for m in world.entries])
-        world.record("open connections to the store are silent from now on")
-    acknowledged = world.write_config(
-        [r for r in base if r["Name"] != "r-old"] + extra +
-        [world.route("r-new", *NEW_ROUTE, "studio")])
-    judged_from = max(acknowledged + CONFIG_APPLY_S,
-                      silent_at + STABILITY_S) + SLACK_S
-    world.record(f"requests are judged from "
-                 f"{judged_from - world.started:.3f} on")
-    opened_at = {}
+    last = [m for m in world.entries if m.zone == ZONES[2]][0]
+    first_taker = {}
+    world.on_took_hook = lambda host, key, now: \
+        first_taker.setdefault(key, host)
 
     def on_system_reset(flow, packet, now):
-        sent = opened_at.get(flow.key)
-        if flow.key[1][0] == wire.ip_number(NEW_ROUTE[0]) and \
-                flow.opened_at is None and sent >= judged_from:
-            world.broken("CONFIG", f"{flow.name}, sent "
-                         f"{sent - acknowledged:.2f} s after the "
-                         "acknowledgement of its route, was refused by "
-                         f"{flow.entry_name}")
+        for host in world.hosts.values():
+            if (flow.host_seq is not None and
+                    host.holds(flow.key, flow.host_seq) and
+                    host.flows[flow.key].opened_at is not None):
+                world.broken("FLOW", f"the client got a reset for {flow.name}, "
+                             f"which is open at host {host.name}, which lives "
+                             "and did not send it")
+    world.on_system_reset_hook = on_system_reset
 
-    def on_run(host, key, request, now):
-        sent = opened_at.get(key)
-        if key[1][0] == wire.ip_number(OLD_ROUTE[0]) and \
-                sent is not None and sent >= judged_from:
-            world.broken("CONFIG", f"{request}, sent "
-                         f"{sent - acknowledged:.2f} s after the "
-                         "acknowledgement that dropped its route, was run by "
-                         f"{host.name}")
+    def restart(machine):
+        machine.signal(signal.SIGTERM)
 
-    world.on_system_reset_hook = on_system_reset
-    world.on_run_hook = on_run
-    number = [0]
-    stop_at = acknowledged + 7
+        def look(now):
+            if not machine.has_ended():
+                world.at(now + 0.005, look)
+                return
+            world.at(now + RESTART_S, lambda t: machine.start())
+        world.at(world.now(), look)
 
-    # "A small number of flows are sent directly to each node that is ready.
-    # These flows use routes that were just added, routes that were just
-    # removed."
-    def test_entries(now):
-        if now > stop_at:
-            return
-        for machine in world.entries:
-            for host, port in (OLD_ROUTE, NEW_ROUTE):
-                number[0] += 1
-                flow = client.flow(machine.zone, (wire.ip_number(host), port),
-                                   f"flow-{number[0]}")
-                flow.direct_to, flow.entry_name = machine.ip, machine.name
-                opened_at[flow.key] = now
-                flow.open(now)
+    # roll_term: the only entry of cxs-a is stopped and started again.
+    restart(last)
+    while world.routers.in_rotation(last):
+        time.sleep(0.002)
+    while not last.has_ended():
+        time.sleep(0.002)
+    flows = []
+    stop = []
 
-                def ask(t, flow=flow):
-                    if flow.state == "open":
-                        flow.ask(f"request-{flow.name}", t)
-                flow.on_answer = lambda f, *_: world.at(
-                    world.now() + 0.05, lambda t, f=f: f.close(t))
-                world.at(now + 0.04, ask)
-        world.at(now + 0.05, test_entries)
+    def open_flow(now):
+        if stop:
+            return
+        flow = client.flow(ZONES[2], service, f"flow-{len(flows)}")
+        flows.append(flow)
+        # Of each second flow, the first answer to the opening packet is lost
+        # on its way to the client.
+        flow.lose_syn_acks = 1 if world.trouble and len(flows) % 2 else 0
+        flow.open(now)
 
-    world.at(judged_from - 0.5, test_entries)
-    time.sleep(max(0.0, stop_at + 0.5 - world.now()))
-    if number[0] < 50:
-        raise CannotRun("too few flows")
+        def ask(t, flow=flow, n=[0]):
+            if flow.state == "open" and flow.request is None:
+                n[0] += 1
+                flow.ask(f"request-{flow.name}-{n[0]}", t)
+        flow.on_answer = lambda f, *_: world.at(world.now() + 0.5, ask)
+        world.at(now + 0.3, ask)
+        world.at(now + 0.02, open_flow)
+    world.call(open_flow)
+    while not world.routers.in_rotation(last):
+        time.sleep(0.002)
+    time.sleep(0.3)
+    stop.append(1)
+    time.sleep(1.5)
+    split = [f for f in flows if f.state == "open" and
+             world.takers[f.key] is not first_taker[f.key]]
+    world.record(f"{len(flows)} flows, {len(split)} at another host than the "
+                 "first that took them")
+    if world.trouble:
+        count = Counter(first_taker[f.key].name for f in split)
+        if not count:
+            raise CannotRun("no flow was split")
+        # srv_crash: one host.
+        crashed = world.hosts[count.most_common(1)[0][0]]
+        world.record(f"host {crashed.name} crashes; it took {count}")
+        world.do(lambda now: crashed.end() or True)
+    time.sleep(STABILITY_S + 0.5)
+    # roll_term again; the clients go on.
+    restart(last)
+    while world.routers.in_rotation(last):
+        time.sleep(0.002)
+    time.sleep(4)
+    answered = sum(f.answers for f in split)
+    world.record(f"{answered} requests answered on the split flows")
 
 
 run_case(os.path.join(HERE, "record.txt"), ZONES, play)
--- a/review/standins/ends.py
+++ b/review/standins/ends.py
@@ -294,6 +294,8 @@
         self.last_ack = 0
         # An entry to which all packets go; otherwise the routers choose one.
         self.direct_to = None
+        # SYN+ACKs that are lost on their way to the client.
+        self.lose_syn_acks = 0
 
     def open(self, now):
         self.state, self.started_at = "opening", now
@@ -355,6 +357,10 @@
             self.finish("reset by its host", now)
             return
         if packet.flags & SYN:
+            if self.lose_syn_acks > 0:
+                self.lose_syn_acks -= 1
+                self.world.record(f"a SYN+ACK to {self.name} is lost")
+                return
             if self.state == "opening":
                 self.host_seq = packet.seq
                 self.stream = Stream((self.seq + 1) & MASK,
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -6,9 +6,6 @@
   open    requests are answered
   cut     a silent partition: nothing passes, open connections stay open and
           new ones get no answer
-
-hush() makes the connections that are open now go silent for good, without a
-reset, while new ones work.
 """
 
 import base64
@@ -30,7 +27,6 @@
         self.address = address
         self.mode = "open"
         self.connections = {}
-        self.hushed = set()
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(address)
@@ -47,11 +43,9 @@
             threading.Thread(target=self._serve, args=(number, connection),
                              daemon=True).start()
 
-    def _wait_until_open(self, number):
-        """Returns false if the connection is silent for good."""
-        while self.mode == "cut" and number not in self.hushed:
+    def _wait_until_open(self):
+        while self.mode == "cut":
             time.sleep(0.005)
-        return number not in self.hushed
 
     def _serve(self, number, connection):
         pending = b""
@@ -63,17 +57,13 @@
                         return
                     pending += chunk
                 head, pending = pending.split(b"\r\n\r\n", 1)
-                if not self._wait_until_open(number):
-                    self._stay_silent(connection)
-                    return
+                self._wait_until_open()
                 time.sleep(ANSWER_S)
                 status, body = self.store.answer(
                     self, number, head.split(b" ")[1].decode())
                 # An answer that is due during a cut arrives when it has
                 # healed, unless the caller gave up on the connection.
-                if not self._wait_until_open(number):
-                    self._stay_silent(connection)
-                    return
+                self._wait_until_open()
                 text = json.dumps(body).encode()
                 connection.sendall(
                     b"HTTP/1.1 %d Answer\r\nContent-Type: application/json\r\n"
@@ -84,11 +74,6 @@
             self.connections.pop(number, None)
             connection.close()
 
-    @staticmethod
-    def _stay_silent(connection):
-        while connection.recv(65536):
-            pass
-
 
 class Store:
     def __init__(self, record):
@@ -131,12 +116,6 @@
             self.changed.notify_all()
         self.record(f"store removed {key}")
 
-    def hush(self, names):
-        """Open connections of these links go silent; new ones work."""
-        for name in names:
-            link = self.links[name]
-            link.hushed |= set(link.connections)
-
     def answer(self, link, number, target):
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
