--- a/review/standins/ends.py
+++ b/review/standins/ends.py
@@ -53,11 +53,10 @@
             return (item[0] + len(item[1]) + (1 if item[2] & FIN else 0)) & MASK
         before = len(self.unacked)
         self.unacked = [i for i in self.unacked if is_before(ack, end_of(i))]
-        if not self.unacked:
-            self.retry_at = None
-        elif len(self.unacked) < before:
-            self.retry_at, self.retry_s = now + FIRST_RETRY_S, FIRST_RETRY_S
+        if len(self.unacked) < before:
             self.retries = 0
+            self.retry_s = FIRST_RETRY_S
+            self.retry_at = now + FIRST_RETRY_S if self.unacked else None
 
     def on_data(self, packet, now):
         """Returns data that is in order, and whether an ACK is due now."""
