No flow is reported lost without a read of the store after its packet

Cause: an entry took a hello of its reader of up to 650 ms before, or its own watch, for the proof that no host is missing from its directory. The reader had ended, or paused between two watches, and a host that registered meanwhile had the flow. Any limit on the age of a hello leaves such a window.

The new test relay_store_test::a_follower_of_a_failed_reader_resets_no_flow (reader killed, suspended, between two watches, or of an earlier build besides) fails on the code before: "flow 100.64.0.1:1042>198.18.0.1:443 of live host 2 reset by entry at 10150 ms" and nine more.

Change: a search ends without an owner only after a read barrier, a read of the store that started after the packet's arrival. Followers ask their reader, so that one read serves a data centre, and read themselves if it does not answer within 120 ms. This rests on nothing that a failed process could have left behind, and earlier builds drop the request, so their readers count as silent.

Ruled out: withdrawal at SIGTERM alone, shorter limits, leases, no flows for new hosts (docs/incidents/outdated-directory.md says why).

--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -1,6 +1,8 @@
 // Decision logic of an entry that forwards flows without inspecting their
 // payload: host selection for new flows, forwarding of known flows to their
-// owner, and the search for the owner of unknown flows.
+// owner, and the search for the owner of unknown flows. Nothing is reset
+// because a host is missing from the directory unless a read barrier shows that
+// the directory was complete when the packet arrived.
 #pragma once
 
 #include <arbutusport/base/lru_map.hpp>
@@ -11,6 +13,7 @@
 #include <arbutusport/relay/owner_search.hpp>
 #include <arbutusport/relay/peer_entries.hpp>
 #include <arbutusport/relay/placement.hpp>
+#include <arbutusport/relay/read_barrier.hpp>
 #include <arbutusport/relay/segment.hpp>
 
 #include <functional>
@@ -67,6 +70,16 @@
     host_peer_options peers;
     placement_options placement;
     owner_search_options search;
+    read_barrier_options barrier;
+};
+
+/// @brief Result of a read of the store on demand.
+struct store_read {
+    revision as_of;
+    /// `items` are the complete contents, because the changes are no longer
+    /// available.
+    bool is_listing = false;
+    std::vector<directory_change> items;
 };
 
 struct entry_relay_hooks {
@@ -84,6 +97,10 @@
     /// Starts reading the store after the given revision, or stops it. Called
     /// on changes only; reading is enabled initially.
     std::function<void(bool reads, revision after)> set_reading_enabled;
+    /// Reads the changes after the revision without waiting for new ones,
+    /// whether or not reading is enabled. Must be answered by on_store_read()
+    /// or on_store_read_failed() with the same number.
+    std::function<void(std::uint64_t id, revision after)> read_store;
     std::function<void(const event&)> report;
     /// Records a latency. The set of names is fixed in the code.
     std::function<void(const char* name, duration)> record_latency =
@@ -103,7 +120,7 @@
     void add_entries(const std::vector<machine_address>& machines,
                      time_point now);
     /// @brief Must be called after each batch of packets or messages.
-    void flush(time_point now) { search_.flush(now); }
+    void flush(time_point now);
 
     /// @brief Results of reading the store.
     void on_listing(revision as_of, std::vector<directory_change> items,
@@ -111,6 +128,8 @@
     void on_changes(revision as_of, const std::vector<directory_change>& items,
                     time_point now);
     void on_store_error(time_point now);
+    void on_store_read(std::uint64_t id, store_read it, time_point now);
+    void on_store_read_failed(std::uint64_t id, time_point now);
 
     /// @brief True if the entry has a directory, has the flows of its data
     /// centre or has waited long enough for them, and reaches at least one host
@@ -148,6 +167,7 @@
 
     void on_unrouted(const segment& packet);
     void on_opening(const segment& packet, time_point now);
+    void advance_barrier(time_point now);
     void on_known_flow(const segment& packet, hint& known, time_point now);
     bool place_flow(const flow_key& flow, opening& pending, time_point now);
     std::optional<host_choice> next_host(const flow_key& flow, opening& pending,
@@ -165,8 +185,7 @@
     conclusion_inputs(const owner_search::conclusion& it) const;
     event_input version_input() const;
     event_input as_of_input() const;
-    bool directory_is_current(time_point now) const;
-    bool knows_all_hosts(time_point now) const;
+    time_point hosts_complete_until(time_point now) const;
     bool has_heard_entries(time_point now) const;
     void hedge_openings(time_point now);
     void choose_reader(time_point now);
@@ -177,6 +196,9 @@
     void on_flow(machine_address from, const owned_flow& owned, time_point now);
     void on_returned(machine_address from, const packet_returned& returned,
                      time_point now);
+    void apply_changes(revision as_of,
+                       const std::vector<directory_change>& items,
+                       time_point now);
     void on_directory_changed(const char* reason, time_point now);
     bool is_known_machine(machine_address it) const;
     void report(event it) const;
@@ -189,6 +211,7 @@
     host_peers peers_;
     peer_entries entries_;
     owner_search search_;
+    read_barrier barrier_;
     lru_map<flow_key, hint> hints_;
     std::unordered_map<flow_key, opening> openings_;
     std::uint64_t last_digest_ = 0;
@@ -203,8 +226,6 @@
     time_point last_reread_at_;
     // True while this process reads the store for its data centre.
     bool reading_ = true;
-    // When this process took over reading from another entry.
-    std::optional<time_point> reading_since_;
     // The store rejected this process and has not answered since. Other
     // entries keep reading until it does.
     bool awaits_store_answer_ = false;
--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -169,10 +169,23 @@
     bytes content;
 };
 
+/// @brief Requests a read of the store that starts after this message has
+/// arrived; see read_barrier. Earlier builds drop it.
+struct barrier_request {
+    std::uint64_t id = 0;
+};
+
+/// @brief The position and contents of the sender's directory after that read.
+struct barrier_reply {
+    std::uint64_t id = 0;
+    revision as_of;
+    std::uint64_t digest = 0;
+};
+
 using message =
     std::variant<hello, load_report, owned_flows, flow_query, flow_denial,
                  packet_returned, peer_hello, directory_request, directory_part,
-                 directory_delta>;
+                 directory_delta, barrier_request, barrier_reply>;
 
 /// @brief Name of the message's type, for metrics.
 const char* type_name(const message& it);
--- a/packages/core/include/arbutusport/relay/owner_search.hpp
+++ b/packages/core/include/arbutusport/relay/owner_search.hpp
@@ -40,6 +40,10 @@
     duration conclusion_delay = std::chrono::milliseconds(12);
     /// Maximum number of query rounds for one packet.
     std::uint32_t max_rounds = 3;
+    /// After a flow without an owner, later searches require complete targets
+    /// when they start, not after the last denial: many flows are lost
+    /// together.
+    duration loss_period = std::chrono::seconds(1);
     /// Denials are kept for this long after the last packet; clients
     /// retransmit a packet after at most 1.6 s.
     duration retention_time = std::chrono::seconds(4);
@@ -83,9 +87,12 @@
         std::function<void(machine_address, std::vector<flow_key>)> query;
         /// Called when no host owns the flow.
         std::function<void(const conclusion&, time_point now)> not_found;
-        /// Whether `targets` is complete. Until then, no search is concluded,
-        /// even after denials from all targets.
-        std::function<bool(time_point now)> can_conclude;
+        /// The latest time at which `targets` is known to have been complete.
+        /// Only searches that had started by then are concluded, even after
+        /// denials from all targets.
+        std::function<time_point(time_point now)> complete_until;
+        /// Called while a search waits for complete targets as of `since`.
+        std::function<void(time_point since)> require_complete;
         /// Called when a search expires after denials from all targets while
         /// `targets` may be incomplete.
         std::function<void(const conclusion&)> unresolved;
@@ -161,7 +168,7 @@
     /// @brief Returns false if targets remain to be queried; otherwise removes
     /// the search.
     bool conclude(const flow_key& flow, time_point now);
-    void conclude_due(time_point now);
+    void conclude_due(time_point complete_until, time_point now);
     void expire(const flow_key& flow, const search& state, time_point now);
     static conclusion make_conclusion(const flow_key& flow, const search& state,
                                       time_point now);
@@ -171,9 +178,11 @@
     hooks hooks_;
     byte_budget budget_;
     std::unordered_map<flow_key, search> searches_;
-    // Searches that all targets denied, by the time of their conclusion, so
-    // that flush() can conclude them before the next tick.
+    // Searches that all targets denied, by the time of their start, so that
+    // flush() can conclude them before the next tick.
     std::multimap<time_point, flow_key> pending_conclusions_;
+    // When a search last ended without an owner.
+    std::optional<time_point> concluded_at_;
     // Queries to be sent by the next flush or tick.
     std::map<machine_address, std::vector<flow_key>> queries_;
 };
--- a/packages/core/include/arbutusport/relay/peer_entries.hpp
+++ b/packages/core/include/arbutusport/relay/peer_entries.hpp
@@ -49,9 +49,6 @@
     duration behind_timeout = std::chrono::milliseconds(500);
     /// Changes within this time are pushed together.
     duration push_interval = std::chrono::milliseconds(40);
-    /// Minimum time between two queries whether the reader has the same
-    /// directory.
-    duration reader_query_interval = std::chrono::milliseconds(100);
     /// Interval between two requests for a directory; doubles while none
     /// arrives, so that requests do not add to the load of a congested link.
     duration request_interval = std::chrono::milliseconds(200);
@@ -81,12 +78,9 @@
     /// see reader_election.
     bool should_read(bool reads, bool prefers_others, time_point now);
     bool is_elected() const { return election_.is_elected(); }
-    /// @brief Asks the reader of the data centre for its state, unless it has
-    /// just been asked.
-    void query_reader(const local_status& own, time_point now);
-    /// @brief True if a reader of the data centre announced the same directory
-    /// within the last hello interval.
-    bool reader_agrees(const directory& known, time_point now) const;
+    /// @brief The entry that reads the store for the data centre, as far as
+    /// this one has heard. It may have ended since.
+    std::optional<machine_address> reader() const;
     /// @brief Restarts the timeouts after this process was suspended.
     void on_resumed(time_point now) { election_.on_resumed(now); }
     /// @brief Sends a changed directory to the entries of the data centre: what
@@ -189,7 +183,6 @@
     // this process reads the store.
     std::uint64_t announcements_ = 0;
     bool announced_reading_ = false;
-    time_point reader_queried_at_;
     time_point last_round_at_;
     // The first tick, and the last repeated hello to entries that have not
     // answered.
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -55,6 +55,12 @@
                           one.digest != directory_.digest()))
                     entries_.request_from(from, now);
             },
+            [&](const barrier_request& one) {
+                barrier_.on_request(from, one, now);
+            },
+            [&](const barrier_reply& one) {
+                barrier_.on_reply(from, one, directory_);
+            },
             [&](const directory_part& one) {
                 const auto view = entries_.on_part(from, one);
                 if (view && directory_.adopt_view(*view, now))
@@ -199,10 +205,8 @@
         hooks_.restart_reading("behind_peers");
     }
     hedge_openings(now);
-    if (!reading_ && search_.pending_conclusions() > 0 &&
-        !entries_.reader_agrees(directory_, now))
-        entries_.query_reader(local_status(now), now);
     search_.on_tick(now);
+    flush(now);
 }
 
 peer_entries::local_status entry_relay::local_status(time_point now) {
@@ -276,14 +280,46 @@
                              time_point now) {
     directory_.on_store_regained(now);
     awaits_store_answer_ = false;
+    apply_changes(as_of, items, now);
+}
+
+// Changes that a read barrier has brought already arrive again with the watch.
+void entry_relay::apply_changes(revision as_of,
+                                const std::vector<directory_change>& items,
+                                time_point now) {
+    const bool is_older = as_of < directory_.as_of();
     for (const directory_change& it : items)
-        if (!directory_.apply(it, now))
+        if (!directory_.apply(it, now) && is_older)
             report_ignored("change", it.at);
     directory_.advance(as_of);
     if (!items.empty())
         on_directory_changed("change", now);
 }
 
+// After a restore of the store, the listing of the process that reads for its
+// data centre comes first.
+void entry_relay::on_store_read(std::uint64_t id, store_read it,
+                                time_point now) {
+    if (it.as_of.era() != directory_.as_of().era()) {
+        barrier_.on_read_failed(id, now);
+        return;
+    }
+    if (reading_) {
+        directory_.on_store_regained(now);
+        awaits_store_answer_ = false;
+    }
+    if (!it.is_listing)
+        apply_changes(it.as_of, it.items, now);
+    else if (directory_.adopt_listing(it.as_of, std::move(it.items), now))
+        on_directory_changed("listing", now);
+    barrier_.on_read(id, directory_);
+    flush(now);
+}
+
+void entry_relay::on_store_read_failed(std::uint64_t id, time_point now) {
+    barrier_.on_read_failed(id, now);
+}
+
 void entry_relay::report_ignored(const char* what, revision at) const {
     report({.severity = event::level::info,
             .name = "store_answer_ignored",
@@ -311,8 +347,6 @@
     if (reads == reading_)
         return;
     reading_ = reads;
-    if (reads)
-        reading_since_ = now;
     report({.severity = event::level::info,
             .name = reads ? "reads_store" : "follows_reader"});
     if (!reads)
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-// A reader that has just taken over receives the changes it missed within this
-// time.
-constexpr duration catch_up_time = std::chrono::milliseconds(300);
-
 host_peer_options make_peer_options(const entry_relay_options& options) {
     host_peer_options out = options.peers;
     out.data_centre = options.data_centre;
@@ -48,8 +44,10 @@
                },
            .not_found = [this](const owner_search::conclusion& it,
                                time_point) { reset_unowned_flow(it); },
-           .can_conclude =
-               [this](time_point now) { return knows_all_hosts(now); },
+           .complete_until =
+               [this](time_point now) { return hosts_complete_until(now); },
+           .require_complete =
+               [this](time_point since) { barrier_.require(since); },
            .unresolved =
                [this](const owner_search::conclusion& it) {
                    report({.severity = event::level::info,
@@ -58,6 +56,13 @@
                            .flow = it.flow,
                            .inputs = conclusion_inputs(it)});
                }}),
+      barrier_(options_.barrier,
+               {.send = [this](machine_address to,
+                               const message& it) { hooks_.send(to, it); },
+                .read =
+                    [this](std::uint64_t id) {
+                        hooks_.read_store(id, directory_.as_of());
+                    }}),
       hints_(options_.max_hints) {}
 
 void entry_relay::on_client(const segment& packet, time_point now) {
@@ -94,6 +99,17 @@
         hooks_.reset(packet.flow, packet.acknowledged);
 }
 
+void entry_relay::flush(time_point now) {
+    advance_barrier(now);
+    search_.flush(now);
+    advance_barrier(now);
+}
+
+void entry_relay::advance_barrier(time_point now) {
+    barrier_.advance(directory_, reading_ ? std::nullopt : entries_.reader(),
+                     now);
+}
+
 void entry_relay::on_opening(const segment& packet, time_point now) {
     const hint* known = hints_.find(packet.flow);
     if (known != nullptr && known->client_start == packet.sequence &&
@@ -247,9 +263,6 @@
     if (packet.rst)
         return;
     const bool is_new = !search_.active(packet.flow);
-    // A search may end without an owner only if the reader has the same hosts.
-    if (!reading_)
-        entries_.query_reader(local_status(now), now);
     if (!search_.add(packet, denied, now))
         report(
             {.name = "dropped", .reason = "search_full", .flow = packet.flow});
@@ -270,15 +283,6 @@
     return peers_.possible_owners(services, hash_of(flow));
 }
 
-// Unless the directory is up to date with the store, it may lack a host that
-// has just registered and already receives flows from another entry.
-bool entry_relay::directory_is_current(time_point now) const {
-    if (!reading_)
-        return entries_.reader_agrees(directory_, now);
-    return !directory_.is_store_lost() &&
-           (!reading_since_ || now - *reading_since_ > catch_up_time);
-}
-
 // Hosts that are no longer registered are listed in the hellos of other
 // entries. An entry that has just started therefore waits for these hellos
 // before it concludes that no host owns a flow.
@@ -295,8 +299,11 @@
             waited >= options_.fresh_fleet_wait);
 }
 
-bool entry_relay::knows_all_hosts(time_point now) const {
-    return has_heard_entries(now) && directory_is_current(now);
+// An outdated directory may lack a host that has just registered and already
+// receives flows from another entry.
+time_point entry_relay::hosts_complete_until(time_point now) const {
+    return has_heard_entries(now) ? barrier_.covered_until()
+                                  : time_point::min();
 }
 
 void entry_relay::reset_unowned_flow(const owner_search::conclusion& it) {
--- a/packages/core/src/relay/entry_relay_test.cpp
+++ b/packages/core/src/relay/entry_relay_test.cpp
@@ -28,6 +28,8 @@
 // An entry that knows one host of each service.
 struct fixture {
     std::vector<forwarded> packets;
+    std::vector<std::pair<machine_address, message>> messages;
+    std::vector<std::uint64_t> reads;
     std::size_t resets = 0;
     bytes datagram = bytes(34);
     entry_relay entry;
@@ -39,10 +41,15 @@
                          packets.push_back({to, mark});
                      },
                  .reset = [this](const flow_key&, std::uint32_t) { ++resets; },
-                 .send = [](machine_address, const message&) {},
+                 .send =
+                     [this](machine_address to, const message& it) {
+                         messages.emplace_back(to, it);
+                     },
                  .decode = [](byte_view) { return std::nullopt; },
                  .restart_reading = [](const char*) {},
                  .set_reading_enabled = [](bool, revision) {},
+                 .read_store = [this](std::uint64_t id,
+                                      revision) { reads.push_back(id); },
                  .report = [](const event&) {}}) {
         routing_document routing{.version = 1};
         routing.routes.push_back({flow.service, {{first, 1}, {second, 1}}});
@@ -126,10 +133,32 @@
     // replace_everything with seed 433664572076 (vhk-moodboard). The entry that
     // reads the store for the data centre was no longer running, so the flow's
     // host, which had just registered, was not in the directory and was not
-    // queried.
+    // queried. No hello of the reader counts, however recent, only the result
+    // of a read that starts after the packet has arrived.
     void no_flow_is_lost_by_an_outdated_directory() {
-        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resets_after(seconds(1)));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, resets_after(milliseconds(100)));
+        fixture it;
+        time_point now = follow_reader(it, start + milliseconds(10));
+        it.messages.clear();
+        it.client_sends(client_start, 77, false, now);
+        it.entry.flush(now);
+        for (const auto machine : {first_machine, second_machine})
+            it.entry.on_message(machine, flow_denial{.not_owned = {flow}}, now);
+        it.entry.flush(now);
+        const auto request = sent_request(it);
+        CPPUNIT_ASSERT(request.has_value());
+        for (int ms = 10; ms <= 100; ms += 10) {
+            hear_reader(it, now + milliseconds(ms));
+            it.entry.on_tick(now + milliseconds(ms));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.resets);
+        now += milliseconds(110);
+        it.entry.on_message(reader,
+                            barrier_reply{.id = *request,
+                                          .as_of = it.entry.known().as_of(),
+                                          .digest = it.entry.known().digest()},
+                            now);
+        it.entry.flush(now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.resets);
     }
 
     // The old owner's announcement arrives after the client has used the port
@@ -144,28 +173,37 @@
     }
 
 private:
-    // Number of resets after denials from both host processes, if the last
-    // hello of the reader arrived `silence` ago.
-    static std::size_t resets_after(duration silence) {
-        fixture it;
-        time_point now = start + milliseconds(10);
-        for (std::uint32_t i = 1; i <= 8; ++i)
-            it.entry.on_message(machine_address(0x0a020000 + i),
-                                peer_hello{.as_of = it.entry.known().as_of(),
-                                           .digest = it.entry.known().digest(),
-                                           .reads_store = true,
-                                           .is_reply = true},
-                                now);
-        it.entry.on_tick(now);
-        now += silence;
-        it.entry.on_tick(now);
-        it.client_sends(client_start, 77, false, now);
-        it.entry.flush(now);
-        for (const auto machine : {first_machine, second_machine})
-            it.entry.on_message(machine, flow_denial{.not_owned = {flow}}, now);
-        for (int ms = 10; ms < 100; ms += 10)
+    inline static const machine_address reader{0x0a020001};
+
+    static void hear_reader(fixture& it, time_point now) {
+        it.entry.on_message(
+            reader,
+            peer_hello{.as_of = it.entry.known().as_of(),
+                       .digest = it.entry.known().digest(),
+                       .reads_store = true,
+                       .is_reply = true,
+                       .reader = reader_announcement{.reader = reader}},
+            now);
+    }
+
+    // Returns when the entry follows the reader and has waited for other
+    // entries.
+    static time_point follow_reader(fixture& it, time_point now) {
+        for (int ms = 0; ms <= 500; ms += 10) {
+            hear_reader(it, now + milliseconds(ms));
             it.entry.on_tick(now + milliseconds(ms));
-        return it.resets;
+        }
+        return now + milliseconds(510);
+    }
+
+    // Number of the request for a barrier that the reader got last.
+    static std::optional<std::uint64_t> sent_request(const fixture& it) {
+        std::optional<std::uint64_t> out;
+        for (const auto& [to, one] : it.messages)
+            if (const auto* request = std::get_if<barrier_request>(&one);
+                request != nullptr && to == reader)
+                out = request->id;
+        return out;
     }
 };
 
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -28,6 +28,9 @@
     peer_hello_with_era,
     directory_part_with_era,
     directory_delta_with_era,
+    // Positions state their era always.
+    barrier_request,
+    barrier_reply,
 };
 
 constexpr std::size_t flow_bytes = 2 * endpoint_bytes + 8;
@@ -208,6 +211,19 @@
     out.put_bytes(it.content);
 }
 
+void write(byte_writer& out, const barrier_request& it) {
+    put_type(out, type::barrier_request);
+    out.put(it.id);
+}
+
+void write(byte_writer& out, const barrier_reply& it) {
+    put_type(out, type::barrier_reply);
+    out.put(it.id);
+    out.put(it.as_of.era().value());
+    out.put(it.as_of.number());
+    out.put(it.digest);
+}
+
 hello read_hello(byte_reader& in) {
     hello it;
     it.run = incarnation(in.take<std::uint64_t>());
@@ -308,6 +324,15 @@
     return it;
 }
 
+barrier_reply read_barrier_reply(byte_reader& in) {
+    barrier_reply it;
+    it.id = in.take<std::uint64_t>();
+    const store_era era(in.take<std::uint64_t>());
+    it.as_of = revision(in.take<std::uint64_t>(), era);
+    it.digest = in.take<std::uint64_t>();
+    return it;
+}
+
 message read(type kind, byte_reader& in) {
     switch (kind) {
     case type::hello:
@@ -340,11 +365,16 @@
         const store_era era = take_stated_era(in);
         return read_directory_part(in, era);
     }
-    case type::directory_delta_with_era:
+    case type::directory_delta_with_era: {
+        const store_era era = take_stated_era(in);
+        return read_directory_delta(in, era);
+    }
+    case type::barrier_request:
+        return barrier_request{in.take<std::uint64_t>()};
+    case type::barrier_reply:
         break;
     }
-    const store_era era = take_stated_era(in);
-    return read_directory_delta(in, era);
+    return read_barrier_reply(in);
 }
 
 } // namespace
@@ -384,9 +414,10 @@
 const char* type_name(const message& it) {
     // In the order of the variant's alternatives.
     constexpr std::array<const char*, std::variant_size_v<message>> names{
-        "hello",          "load_report",     "owned_flows", "flow_query",
-        "flow_denial",    "packet_returned", "peer_hello",  "directory_request",
-        "directory_part", "directory_delta"};
+        "hello",           "load_report",       "owned_flows",
+        "flow_query",      "flow_denial",       "packet_returned",
+        "peer_hello",      "directory_request", "directory_part",
+        "directory_delta", "barrier_request",   "barrier_reply"};
     return names[it.index()];
 }
 
@@ -400,7 +431,7 @@
     byte_reader in(data);
     const auto kind = in.take<std::uint8_t>();
     if (kind < static_cast<std::uint8_t>(type::hello) ||
-        kind > static_cast<std::uint8_t>(type::directory_delta_with_era))
+        kind > static_cast<std::uint8_t>(type::barrier_reply))
         return reject("unknown message type");
     message out = read(static_cast<type>(kind), in);
     if (!in.complete())
--- a/packages/core/src/relay/messages_test.cpp
+++ b/packages/core/src/relay/messages_test.cpp
@@ -82,7 +82,11 @@
             directory_part{
                 .as_of = revision(16, later_era), .count = 1, .content = {18}},
             directory_delta{.as_of = revision(22, later_era),
-                            .changed = {make_host(), make_host(later_era)}}};
+                            .changed = {make_host(), make_host(later_era)}},
+            barrier_request{27},
+            barrier_reply{.id = 28, .as_of = revision(29), .digest = 30},
+            barrier_reply{
+                .id = 28, .as_of = revision(29, later_era), .digest = 30}};
 }
 
 // Whether the process of a build that knows no eras accepts the message.
--- a/packages/core/src/relay/owner_search.cpp
+++ b/packages/core/src/relay/owner_search.cpp
@@ -40,6 +40,8 @@
         return true;
     }
     state.started_at = now;
+    if (concluded_at_ && now - *concluded_at_ < options_.loss_period)
+        hooks_.require_complete(now);
     state.probe_packet.assign(packet.datagram.begin(), packet.datagram.end());
     state.probed.clear();
     state.uncertain.clear();
@@ -131,7 +133,8 @@
                                        time_point now) {
     state.all_denied = true;
     state.due = now + options_.conclusion_delay;
-    pending_conclusions_.emplace(state.due, flow);
+    pending_conclusions_.emplace(state.started_at, flow);
+    hooks_.require_complete(state.started_at);
 }
 
 owner_search::conclusion owner_search::make_conclusion(const flow_key& flow,
@@ -152,6 +155,7 @@
     }
     const auto out = make_conclusion(flow, it->second, now);
     searches_.erase(it);
+    concluded_at_ = now;
     hooks_.not_found(out, now);
     return true;
 }
@@ -215,7 +219,7 @@
 }
 
 void owner_search::on_tick(time_point now) {
-    const bool can_conclude = hooks_.can_conclude(now);
+    const time_point complete_until = hooks_.complete_until(now);
     std::vector<flow_key> due;
     for (auto& [flow, state] : searches_) {
         probe_uncertain(flow, state, now);
@@ -226,9 +230,9 @@
         search& state = searches_.at(flow);
         if (now - state.used_at > options_.retention_time)
             expire(flow, state, now);
-        else if (state.all_denied && !can_conclude)
-            continue;
-        else if (can_conclude && conclude(flow, now))
+        else if (state.all_denied && state.started_at > complete_until)
+            hooks_.require_complete(state.started_at);
+        else if (state.started_at <= complete_until && conclude(flow, now))
             continue;
         else if (state.rounds < options_.max_rounds)
             start_round(flow, state, now);
@@ -245,20 +249,26 @@
 }
 
 void owner_search::flush(time_point now) {
-    if (!pending_conclusions_.empty() && hooks_.can_conclude(now))
-        conclude_due(now);
+    if (!pending_conclusions_.empty())
+        conclude_due(hooks_.complete_until(now), now);
     send_queries(now);
 }
 
-void owner_search::conclude_due(time_point now) {
-    while (!pending_conclusions_.empty() &&
-           pending_conclusions_.begin()->first <= now) {
-        const flow_key flow =
-            pending_conclusions_.extract(pending_conclusions_.begin()).mapped();
+void owner_search::conclude_due(time_point complete_until, time_point now) {
+    for (auto next = pending_conclusions_.begin();
+         next != pending_conclusions_.end() && next->first <= complete_until;) {
+        const auto [started_at, flow] = *next;
         const auto it = searches_.find(flow);
         // A new search of the flow may have started, or its owner was found.
-        if (it != searches_.end() && it->second.all_denied &&
-            it->second.due <= now)
+        const bool is_pending = it != searches_.end() &&
+                                it->second.all_denied &&
+                                it->second.started_at == started_at;
+        if (is_pending && it->second.due > now) {
+            ++next;
+            continue;
+        }
+        next = pending_conclusions_.erase(next);
+        if (is_pending)
             conclude(flow, now);
     }
 }
--- a/packages/core/src/relay/owner_search_test.cpp
+++ b/packages/core/src/relay/owner_search_test.cpp
@@ -44,7 +44,11 @@
                       [this](const owner_search::conclusion& it, time_point) {
                           not_found.push_back(it.flow);
                       },
-                  .can_conclude = [this](time_point) { return is_complete; },
+                  .complete_until =
+                      [this](time_point now) {
+                          return is_complete ? now : time_point::min();
+                      },
+                  .require_complete = [](time_point) {},
                   .unresolved =
                       [this](const owner_search::conclusion& it) {
                           unresolved.push_back(it.flow);
--- a/packages/core/src/relay/peer_entries.cpp
+++ b/packages/core/src/relay/peer_entries.cpp
@@ -259,24 +259,9 @@
     return election_.should_read(reads, prefers_others, own_standing(now), now);
 }
 
-void peer_entries::query_reader(const local_status& own, time_point now) {
-    const auto& reader = election_.reader();
-    if (own.reads_store || !reader ||
-        now - reader_queried_at_ < options_.reader_query_interval)
-        return;
-    reader_queried_at_ = now;
-    const machine_address machine = reader->announcement.reader;
-    send_hello(machine, peers_[machine], make_hello(own, false, now));
-}
-
-bool peer_entries::reader_agrees(const directory& known, time_point now) const {
-    // One hello interval plus the delay of a hello.
-    const duration recent = options_.hello_interval + hello_delay;
-    return std::ranges::any_of(peers_, [&](const auto& it) {
-        const peer& one = it.second;
-        return one.reads_store && one.data_centre == options_.data_centre &&
-               now - one.heard_at <= recent && has_same_contents(one, known);
-    });
+std::optional<machine_address> peer_entries::reader() const {
+    const auto& known = election_.reader();
+    return known ? std::optional(known->announcement.reader) : std::nullopt;
 }
 
 void peer_entries::add_entry(machine_address machine, time_point now) {
--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -181,6 +181,10 @@
     void tick();
     void publish_registration(std::size_t host);
     void deliver_listing(std::size_t entry);
+    void answer_read(std::size_t entry, std::uint64_t id);
+    /// @brief The store's position and items as the entry's build sees them.
+    relay::revision position_for(std::size_t entry) const;
+    std::vector<relay::directory_change> items_for(std::size_t entry) const;
     relay::directory_change change_for(std::size_t entry,
                                        relay::directory_change it) const;
     bool understands(relay::machine_address machine,
--- a/packages/testing/src/emulator/relay_store_test.cpp
+++ b/packages/testing/src/emulator/relay_store_test.cpp
@@ -5,6 +5,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <functional>
+
 namespace arbutusport::emulator {
 
 namespace {
@@ -28,6 +31,7 @@
     CPPUNIT_TEST(an_isolated_entry_is_not_ready);
     CPPUNIT_TEST(unknown_route_without_store_is_not_refused);
     CPPUNIT_TEST(a_reader_between_two_watches_resets_no_flow);
+    CPPUNIT_TEST(a_follower_of_a_failed_reader_resets_no_flow);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -184,6 +188,35 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.answers(flow));
     }
 
+    // Guards against the reset of open flows of a host that has just
+    // registered, by entries that rely on an earlier hello of their reader
+    // (review/1).
+    void a_follower_of_a_failed_reader_resets_no_flow() {
+        for (const auto& fail : reader_failures)
+            for (int phase = 0; phase < 500; phase += 100) {
+                relay_world world(two_data_centres);
+                // One host of each data centre boots later.
+                world.unregister_host(2);
+                world.unregister_host(3);
+                world.run_until(seconds(10) + milliseconds(phase));
+                const auto reader = world.first_reader();
+                const auto elsewhere = 1 - reader % 2;
+                const auto new_host = 2 + elsewhere;
+                fail(world, reader);
+                world.boot_host(new_host);
+                world.run_for(milliseconds(100));
+                std::vector<std::size_t> flows;
+                for (int i = 0; i < 20; ++i)
+                    flows.push_back(world.open_flow(elsewhere));
+                world.run_for(milliseconds(30));
+                CPPUNIT_ASSERT(
+                    std::ranges::any_of(flows, [&](std::size_t flow) {
+                        return world.owning_host(flow) == new_host;
+                    }));
+                assert_served(world, flows, follower_of(reader));
+            }
+    }
+
     void unknown_route_without_store_is_not_refused() {
         constexpr std::uint16_t unknown_port = 444;
         relay_world world({.entries = 1});
@@ -198,6 +231,47 @@
         world.run_for(seconds(1));
         CPPUNIT_ASSERT(!world.is_reset(dropped));
     }
+
+private:
+    using reader_failure = std::function<void(relay_world&, std::size_t)>;
+
+    static constexpr relay_world_options two_data_centres{
+        .entries = 6, .hosts = 4, .data_centres = 2};
+
+    // The reader has ended; is suspended, so that it neither receives nor
+    // answers messages; is between two watches; or is, besides, of a build that
+    // drops requests for a barrier.
+    inline static const std::vector<reader_failure> reader_failures{
+        [](relay_world& world, std::size_t reader) {
+            world.kill_entry(reader);
+        },
+        [](relay_world& world, std::size_t reader) {
+            world.set_entry_isolated(reader, true);
+        },
+        [](relay_world& world, std::size_t reader) {
+            world.delay_changes(reader, milliseconds(700));
+        },
+        [](relay_world& world, std::size_t reader) {
+            world.disregard_eras(reader);
+            world.delay_changes(reader, milliseconds(700));
+        }};
+
+    // Another entry of the reader's data centre.
+    static std::size_t follower_of(std::size_t reader) {
+        return (reader + 2) % two_data_centres.entries;
+    }
+
+    static void assert_served(relay_world& world,
+                              const std::vector<std::size_t>& flows,
+                              std::size_t entry) {
+        for (const auto it : flows)
+            world.send_request(it, entry);
+        world.run_for(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             join_lines(world.found_violations()));
+        for (const auto it : flows)
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.answers(it));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(relay_store_test);
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -114,6 +114,15 @@
                             deliver_listing(entry);
                     });
             },
+        .read_store =
+            [this, entry, alive](std::uint64_t id, relay::revision) {
+                // A round trip on an open connection.
+                schedule(2 * options_.delay + store_answer_time,
+                         [this, entry, alive, id] {
+                             if (alive())
+                                 answer_read(entry, id);
+                         });
+            },
         .report = [](const relay::event&) {}};
     it.is_reader = true;
     it.process = std::make_unique<relay::entry_relay>(
--- a/packages/testing/src/emulator/relay_world_faults.cpp
+++ b/packages/testing/src/emulator/relay_world_faults.cpp
@@ -180,13 +180,38 @@
         return;
     }
     ++store_answers_;
+    it.process->on_listing(position_for(entry), items_for(entry), time());
+}
+
+relay::revision relay_world::position_for(std::size_t entry) const {
+    return entries_[entry]->disregards_eras
+               ? relay::revision(store_.as_of().number())
+               : store_.as_of();
+}
+
+std::vector<relay::directory_change>
+relay_world::items_for(std::size_t entry) const {
     auto items = store_.items();
     for (auto& item : items)
         item = change_for(entry, std::move(item));
-    const auto as_of = it.disregards_eras
-                           ? relay::revision(store_.as_of().number())
-                           : store_.as_of();
-    it.process->on_listing(as_of, std::move(items), time());
+    return items;
+}
+
+// The answer lists the whole contents, as if the changes were no longer
+// available.
+void relay_world::answer_read(std::size_t entry, std::uint64_t id) {
+    entry_state& it = *entries_[entry];
+    if (!it.has_store_access) {
+        ++store_refusals_;
+        it.process->on_store_read_failed(id, time());
+        return;
+    }
+    ++store_answers_;
+    it.process->on_store_read(id,
+                              {.as_of = position_for(entry),
+                               .is_listing = true,
+                               .items = items_for(entry)},
+                              time());
 }
 
 std::uint64_t relay_world::flows_placed_at(std::size_t host) const {
