Open flows of an unknown route are reset only after a read barrier

Cause: entry_relay::on_unrouted reset any packet of a route that the entry does not know, unless this entry had noticed an error of the store itself. A follower notices none when its reader has ended, is suspended or pauses.

Evidence: log of the script, refused reason=no_route by the two entries whose reader had ended. relay_store_test:: a_follower_of_a_failed_reader_resets_no_flow_of_a_new_route fails on the code before: "flow 100.64.0.1:1024>198.18.0.1:444 of live host 0 reset by entry at 10131 ms".

Change: such a packet waits for a read barrier; the route has come with it, or its absence is certain. The first copy of an opening packet is refused at once, as before, because nothing is open yet.

--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -1,8 +1,8 @@
 // Decision logic of an entry that forwards flows without inspecting their
 // payload: host selection for new flows, forwarding of known flows to their
 // owner, and the search for the owner of unknown flows. Nothing is reset
-// because a host is missing from the directory unless a read barrier shows that
-// the directory was complete when the packet arrived.
+// because a host or a route is missing from the directory unless a read barrier
+// shows that the directory was complete when the packet arrived.
 #pragma once
 
 #include <arbutusport/base/lru_map.hpp>
@@ -61,6 +61,11 @@
     /// Number of times one opening packet may be returned by hosts before the
     /// client's connection is reset.
     std::size_t max_returns = 4;
+    /// Packets without a route that wait for a read barrier: their number, one
+    /// for each flow, and how long they are kept. A store answers within 240 ms
+    /// even if it is slow.
+    std::size_t max_undecided = 1024;
+    duration undecided_timeout = std::chrono::milliseconds(800);
     std::size_t max_hints = 500'000;
     std::size_t max_openings = 8192;
     /// A longer interval between two ticks means that the process was
@@ -165,8 +170,18 @@
         time_point due;
     };
 
-    void on_unrouted(const segment& packet);
+    // A packet that has no route according to the directory.
+    struct undecided_packet {
+        bytes datagram;
+        time_point arrived_at;
+    };
+
+    void handle_client(const segment& packet, bool is_confirmed,
+                       time_point now);
+    void on_unrouted(const segment& packet, bool is_confirmed, time_point now);
     void on_opening(const segment& packet, time_point now);
+    void await_barrier(const segment& packet, time_point now);
+    void decide_waiting(time_point now);
     void advance_barrier(time_point now);
     void on_known_flow(const segment& packet, hint& known, time_point now);
     bool place_flow(const flow_key& flow, opening& pending, time_point now);
@@ -212,6 +227,9 @@
     peer_entries entries_;
     owner_search search_;
     read_barrier barrier_;
+    std::unordered_map<flow_key, undecided_packet> undecided_;
+    // The barrier's evidence when `undecided_` was last checked.
+    time_point decided_until_ = time_point::min();
     lru_map<flow_key, hint> hints_;
     std::unordered_map<flow_key, opening> openings_;
     std::uint64_t last_digest_ = 0;
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -150,7 +150,7 @@
             .flow = packet->flow,
             .machine = from});
     if (directory_.find_route(packet->flow.service) == nullptr) {
-        on_unrouted(*packet);
+        on_unrouted(*packet, false, now);
         return;
     }
     const hint* known = hints_.find(packet->flow);
@@ -205,6 +205,7 @@
         hooks_.restart_reading("behind_peers");
     }
     hedge_openings(now);
+    decide_waiting(now);
     search_.on_tick(now);
     flush(now);
 }
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -66,13 +66,20 @@
       hints_(options_.max_hints) {}
 
 void entry_relay::on_client(const segment& packet, time_point now) {
+    handle_client(packet, false, now);
+}
+
+// `is_confirmed`: the directory is known to have been complete when the packet
+// arrived.
+void entry_relay::handle_client(const segment& packet, bool is_confirmed,
+                                time_point now) {
     if (!directory_.is_ready()) {
         report(
             {.name = "dropped", .reason = "no_directory", .flow = packet.flow});
         return;
     }
     if (directory_.find_route(packet.flow.service) == nullptr) {
-        on_unrouted(packet);
+        on_unrouted(packet, is_confirmed, now);
         return;
     }
     if (packet.is_opening()) {
@@ -85,12 +92,22 @@
         search_owner(packet, std::nullopt, now);
 }
 
-// Traffic of a route that a newer configuration adds must not be reset, so an
-// entry that cannot read the store drops the packet without a reset.
-void entry_relay::on_unrouted(const segment& packet) {
+// The flow may be open on a route that a newer configuration has added. Only
+// the first copy of an opening packet needs no evidence, since nothing is open
+// yet; without the store even that is not refused.
+void entry_relay::on_unrouted(const segment& packet, bool is_confirmed,
+                              time_point now) {
+    if (packet.rst)
+        return;
+    const bool is_first_opening =
+        packet.is_opening() && packet.acknowledged == 0;
+    if (!is_confirmed && !is_first_opening) {
+        await_barrier(packet, now);
+        return;
+    }
     hints_.erase(packet.flow);
     openings_.erase(packet.flow);
-    const bool refuses = !directory_.is_store_lost() && !packet.rst;
+    const bool refuses = is_confirmed || !directory_.is_store_lost();
     report({.name = refuses ? "refused" : "dropped",
             .reason = "no_route",
             .flow = packet.flow,
@@ -99,8 +116,49 @@
         hooks_.reset(packet.flow, packet.acknowledged);
 }
 
+// Keeps the packet until a read barrier shows whether the directory was
+// complete when it arrived.
+void entry_relay::await_barrier(const segment& packet, time_point now) {
+    if (undecided_.size() >= options_.max_undecided &&
+        !undecided_.contains(packet.flow)) {
+        report({.name = "dropped",
+                .reason = "undecided_full",
+                .flow = packet.flow});
+        return;
+    }
+    undecided_[packet.flow] = {
+        .datagram = {packet.datagram.begin(), packet.datagram.end()},
+        .arrived_at = now};
+    barrier_.require(now);
+}
+
+void entry_relay::decide_waiting(time_point now) {
+    decided_until_ = barrier_.covered_until();
+    std::vector<bytes> decided;
+    std::erase_if(undecided_, [&](auto& it) {
+        auto& [flow, waiting] = it;
+        if (waiting.arrived_at <= decided_until_) {
+            decided.push_back(std::move(waiting.datagram));
+            return true;
+        }
+        barrier_.require(waiting.arrived_at);
+        if (now - waiting.arrived_at < options_.undecided_timeout)
+            return false;
+        report({.name = "dropped",
+                .reason = "directory_not_confirmed",
+                .flow = flow,
+                .inputs = {version_input()}});
+        return true;
+    });
+    for (const bytes& datagram : decided)
+        if (const auto packet = hooks_.decode(datagram))
+            handle_client(*packet, true, now);
+}
+
 void entry_relay::flush(time_point now) {
     advance_barrier(now);
+    if (barrier_.covered_until() > decided_until_)
+        decide_waiting(now);
     search_.flush(now);
     advance_barrier(now);
 }
--- a/packages/testing/src/emulator/relay_store_test.cpp
+++ b/packages/testing/src/emulator/relay_store_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(unknown_route_without_store_is_not_refused);
     CPPUNIT_TEST(a_reader_between_two_watches_resets_no_flow);
     CPPUNIT_TEST(a_follower_of_a_failed_reader_resets_no_flow);
+    CPPUNIT_TEST(a_follower_of_a_failed_reader_resets_no_flow_of_a_new_route);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -217,6 +218,24 @@
             }
     }
 
+    // Guards against the reset of open flows on a route that has just been
+    // added, by entries that have not heard of it (review/2).
+    void a_follower_of_a_failed_reader_resets_no_flow_of_a_new_route() {
+        constexpr std::uint16_t new_port = 444;
+        for (const auto& fail : reader_failures) {
+            relay_world world(two_data_centres);
+            world.run_until(seconds(10));
+            const auto reader = world.first_reader();
+            fail(world, reader);
+            world.add_route(new_port);
+            world.run_for(milliseconds(100));
+            const auto flow = world.open_flow(1 - reader % 2, new_port);
+            world.run_for(milliseconds(30));
+            CPPUNIT_ASSERT(world.is_open(flow));
+            assert_served(world, {flow}, follower_of(reader));
+        }
+    }
+
     void unknown_route_without_store_is_not_refused() {
         constexpr std::uint16_t unknown_port = 444;
         relay_world world({.entries = 1});
