Tell services apart by 48 bits in opening packets

Cause: the host process compared 16 bits of the service's id, and so did the entry with the report of the process. Any two names agree with a probability of 1 in 65,536.

Evidence: relay_world_test:: reused_address_gets_no_flow_of_a_service_with_the_same_tag fails on the code before: "opened at another service: 100.64.0.1:1084>198.18.0.1:443" and more; entry_relay_test::an_address_belongs_to_the_host_that_registered_last fails without the check of the entry.

Change: an opening packet carries 32 further bits in a field that is unused between entry and host process; the process rejects a packet whose bits differ. Where two services at one address share a tag, entries prefer the host that registered last, which also covers host processes of earlier builds. An entry of an earlier build states no check; its tag alone is compared.

--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -161,7 +161,7 @@
     // An opening packet that has not been accepted by any host yet.
     struct opening {
         std::uint32_t client_start = 0;
-        service_tag service;
+        service_id service;
         bytes datagram;
         std::vector<machine_address> tried;
         std::size_t hedges = 0;
@@ -180,6 +180,8 @@
                        time_point now);
     void on_unrouted(const segment& packet, bool is_confirmed, time_point now);
     void on_opening(const segment& packet, time_point now);
+    std::optional<service_id> accepted_service(const segment& packet,
+                                               const hint& accepted) const;
     void await_barrier(const segment& packet, time_point now);
     void decide_waiting(time_point now);
     void advance_barrier(time_point now);
--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -18,7 +18,7 @@
 
 struct host_relay_options {
     incarnation run;
-    service_tag service;
+    service_id service;
     /// Start time of this process by the machine's clock.
     unix_milliseconds started{};
     /// A host that started at most this long before this process has no flows
@@ -127,6 +127,7 @@
         duration idle_timeout{};
     };
 
+    bool is_for_own_service(const routing_mark& mark) const;
     void on_opening(machine_address from, const segment& packet,
                     time_point now);
     void on_unknown_flow(machine_address from, const segment& packet,
--- a/packages/core/include/arbutusport/relay/segment.hpp
+++ b/packages/core/include/arbutusport/relay/segment.hpp
@@ -23,14 +23,26 @@
 /// addresses are reused by other services.
 using service_tag = strong_value<struct service_tag_tag, std::uint16_t>;
 
+/// @brief Further bits of a service id, never 0. Two services may have the same
+/// tag, so an opening packet carries both.
+using service_check = strong_value<struct service_check_tag, std::uint32_t>;
+
 service_tag make_service_tag(service_id it);
+service_check make_service_check(service_id it);
 
 /// @brief Data that relay processes pass on in a packet's spare bytes.
 struct routing_mark {
     forwarding_mode kind = forwarding_mode::forward;
     service_tag service;
+    /// 0 if the sender does not know the service's id, or runs a build without
+    /// this field.
+    service_check check;
 };
 
+/// @brief The mark of an opening packet that is placed at a host of the
+/// service.
+routing_mark make_placement_mark(service_id it);
+
 /// @brief A decoded packet. `datagram` is the whole packet as received; it is
 /// valid as long as the buffer from which it was decoded.
 struct segment {
@@ -48,7 +60,7 @@
     std::uint16_t payload_bytes = 0;
     routing_mark mark;
     /// In a returned packet: the address of the entry that forwarded it; 0 if
-    /// unknown.
+    /// unknown. In a forwarded one these bytes hold the mark's check.
     std::uint32_t forwarding_entry = 0;
     byte_view datagram;
 
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -170,10 +170,11 @@
 
 void entry_relay::on_opening(const segment& packet, time_point now) {
     const hint* known = hints_.find(packet.flow);
-    if (known != nullptr && known->client_start == packet.sequence &&
-        !peers_.host_is_dead(known->owner)) {
+    const auto service =
+        known != nullptr ? accepted_service(packet, *known) : std::nullopt;
+    if (service) {
         // The host accepted an earlier copy; its answer may have been lost.
-        hooks_.forward(known->owner, {forwarding_mode::place, known->service},
+        hooks_.forward(known->owner, make_placement_mark(*service),
                        packet.datagram);
         return;
     }
@@ -197,6 +198,21 @@
     }
 }
 
+// The service as which the host accepted an earlier copy of the packet; empty
+// if the flow must be placed anew.
+std::optional<service_id>
+entry_relay::accepted_service(const segment& packet,
+                              const hint& accepted) const {
+    const route* flow_route = directory_.find_route(packet.flow.service);
+    if (flow_route == nullptr || accepted.client_start != packet.sequence ||
+        peers_.host_is_dead(accepted.owner))
+        return std::nullopt;
+    for (const weighted_service& it : flow_route->targets)
+        if (make_service_tag(it.service) == accepted.service)
+            return it.service;
+    return std::nullopt;
+}
+
 // Returns false if no host is available for the flow.
 bool entry_relay::place_flow(const flow_key& flow, opening& pending,
                              time_point now) {
@@ -215,7 +231,7 @@
                  {"load_age_ms", peers_.report_age_ms(chosen->machine, now)},
                  {"attempt", static_cast<std::int64_t>(pending.tried.size())},
                  version_input()}}});
-    hooks_.forward(chosen->machine, {forwarding_mode::place, pending.service},
+    hooks_.forward(chosen->machine, make_placement_mark(pending.service),
                    pending.datagram);
     return true;
 }
@@ -263,7 +279,7 @@
                 .inputs = {version_input()}});
         return std::nullopt;
     }
-    pending.service = make_service_tag(used);
+    pending.service = used;
     return best;
 }
 
--- a/packages/core/src/relay/entry_relay_test.cpp
+++ b/packages/core/src/relay/entry_relay_test.cpp
@@ -96,6 +96,7 @@
     CPPUNIT_TEST(a_retransmitted_opening_goes_to_the_accepting_host);
     CPPUNIT_TEST(no_flow_is_lost_by_an_outdated_directory);
     CPPUNIT_TEST(a_late_announcement_does_not_end_the_opening_of_a_reused_port);
+    CPPUNIT_TEST(an_address_belongs_to_the_host_that_registered_last);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -172,6 +173,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.packets.size());
     }
 
+    // Guards against flows at a host that has taken over the address of another
+    // one: the process there may be of a build that compares 16-bit tags, and
+    // the two services may have the same one (review/4).
+    void an_address_belongs_to_the_host_that_registered_last() {
+        const service_id same_tag(first.value() ^ 0x10000U);
+        fixture it;
+        it.entry.on_changes(
+            revision(6),
+            {{revision(6), fixture::record(3, same_tag, first_machine)}},
+            start);
+        it.entry.on_message(first_machine,
+                            load_report{.service = make_service_tag(same_tag)},
+                            start);
+        for (std::uint32_t n = 0; n < 20; ++n)
+            it.client_sends(client_start + n, 0, true, start);
+        CPPUNIT_ASSERT(!it.packets.empty());
+        for (const forwarded& one : it.packets)
+            CPPUNIT_ASSERT(one.to != first_machine);
+    }
+
 private:
     inline static const machine_address reader{0x0a020001};
 
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -179,7 +179,7 @@
 
 load_report host_relay::make_report(time_point now) {
     return {.run = options_.run,
-            .service = options_.service,
+            .service = make_service_tag(options_.service),
             .host = is_stopping_ && state_ == host_state::alive
                         ? host_state::listener_closed
                         : state_,
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -17,6 +17,17 @@
 // Reports of an earlier run of a process arrive late by at most this time.
 constexpr duration earlier_run_timeout = std::chrono::seconds(1);
 
+// Whether a host of another service has registered at the address since, and
+// the process there cannot be told apart by its tag.
+bool is_taken_over(const directory& known, const directory::host& host) {
+    const directory::host* newest =
+        known.newest_at(host.record.address.address);
+    return newest != nullptr &&
+           newest->record.service != host.record.service &&
+           make_service_tag(newest->record.service) ==
+               make_service_tag(host.record.service);
+}
+
 } // namespace
 
 // The hosts of one service, as far as the selection of followed ones needs
@@ -345,7 +356,7 @@
         if (host.record.service != service || host.record.draining)
             continue;
         const auto it = make_candidate(host, now);
-        if (!it)
+        if (!it || is_taken_over(known, host))
             continue;
         const peer* known_peer = find(it->machine);
         const bool followed = known_peer == nullptr || known_peer->followed;
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -23,7 +23,7 @@
 
 void host_relay::on_entry(machine_address from, const segment& packet,
                           time_point now) {
-    if (packet.mark.service != options_.service) {
+    if (!is_for_own_service(packet.mark)) {
         reject_packet(from, packet, return_reason::wrong_service);
         return;
     }
@@ -64,6 +64,12 @@
     deliver(from, packet, now);
 }
 
+bool host_relay::is_for_own_service(const routing_mark& mark) const {
+    return mark.service == make_service_tag(options_.service) &&
+           (mark.check == service_check() ||
+            mark.check == make_service_check(options_.service));
+}
+
 void host_relay::on_opening(machine_address from, const segment& packet,
                             time_point now) {
     const auto known = flows_.find(packet.flow);
--- a/packages/core/src/relay/host_relay_test.cpp
+++ b/packages/core/src/relay/host_relay_test.cpp
@@ -1,5 +1,5 @@
 // Checks what a host's relay process concludes from the hellos of entries that
-// have different configurations.
+// have different configurations, and which packets it takes for its host.
 
 #include <arbutusport/relay/host_relay.hpp>
 
@@ -48,12 +48,37 @@
                       start};
 };
 
+// Whether a process of the service delivers an opening packet with the mark.
+bool delivers(service_id service, const routing_mark& mark) {
+    bool is_delivered = false;
+    bool is_returned = false;
+    host_relay relay(
+        {.service = service},
+        {.deliver = [&](machine_address, byte_view) { is_delivered = true; },
+         .to_client = [](const flow_key&, byte_view) {},
+         .reset = [](const flow_key&, std::uint32_t) {},
+         .send =
+             [&](machine_address, const message& it) {
+                 is_returned = std::holds_alternative<packet_returned>(it);
+             },
+         .report = [](const event&) {}},
+        start);
+    segment opening;
+    opening.flow = unknown_flow;
+    opening.syn = true;
+    opening.mark = mark;
+    relay.on_entry(current_entry, opening, start);
+    CPPUNIT_ASSERT(is_delivered != is_returned);
+    return is_delivered;
+}
+
 } // namespace
 
 class host_relay_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(host_relay_test);
     CPPUNIT_TEST(an_outdated_entry_does_not_shorten_the_idle_timeout);
     CPPUNIT_TEST(a_shorter_idle_timeout_counts_once_all_entries_have_it);
+    CPPUNIT_TEST(only_opening_packets_of_the_own_service_are_delivered);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -82,6 +107,21 @@
         it.tick(start + seconds(7));
         CPPUNIT_ASSERT(it.denies_unknown_flow(start + seconds(7)));
     }
+
+    // Guards against requests that a host of another service runs, because its
+    // name has the same 16-bit tag (review/4).
+    void only_opening_packets_of_the_own_service_are_delivered() {
+        const service_id own = service_id_of("participa");
+        const service_id same_tag(own.value() ^ 0x10000U);
+        CPPUNIT_ASSERT(make_service_tag(own) == make_service_tag(same_tag));
+        CPPUNIT_ASSERT(delivers(own, make_placement_mark(own)));
+        CPPUNIT_ASSERT(!delivers(own, make_placement_mark(same_tag)));
+        // An entry of an earlier build states the tag alone.
+        CPPUNIT_ASSERT(
+            delivers(own, {forwarding_mode::place, make_service_tag(own)}));
+        CPPUNIT_ASSERT(
+            !delivers(own, {forwarding_mode::place, service_tag(0)}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(host_relay_test);
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -5,6 +5,7 @@
 #include <arbutusport/base/hash.hpp>
 #include <arbutusport/relay/messages.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace arbutusport::relay {
@@ -383,6 +384,16 @@
     return service_tag(static_cast<std::uint16_t>(it.value() >> 48));
 }
 
+service_check make_service_check(service_id it) {
+    const auto bits = static_cast<std::uint32_t>(it.value() >> 16);
+    return service_check(std::max(bits, std::uint32_t{1}));
+}
+
+routing_mark make_placement_mark(service_id it) {
+    return {forwarding_mode::place, make_service_tag(it),
+            make_service_check(it)};
+}
+
 const char* to_string(registration it) {
     switch (it) {
     case registration::ready:
--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -27,6 +27,8 @@
     duration delay = std::chrono::milliseconds(1);
     /// Fraction of packets and messages that are dropped.
     double loss = 0;
+    /// The service that reuse_address() and change_route() use.
+    service_id other_service = service_id_of("acervo");
     /// Send limit for the searches of each entry.
     double search_bytes_per_second = 31e6;
 };
--- a/packages/testing/src/emulator/relay_store_test.cpp
+++ b/packages/testing/src/emulator/relay_store_test.cpp
@@ -254,7 +254,7 @@
 private:
     using reader_failure = std::function<void(relay_world&, std::size_t)>;
 
-    static constexpr relay_world_options two_data_centres{
+    inline static const relay_world_options two_data_centres{
         .entries = 6, .hosts = 4, .data_centres = 2};
 
     // The reader has ended; is suspended, so that it neither receives nor
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -181,8 +181,7 @@
         .report = [](const relay::event&) {}};
     it.process = std::make_unique<relay::host_relay>(
         relay::host_relay_options{.run = incarnation(++it.process_run),
-                                  .service =
-                                      relay::make_service_tag(it.service),
+                                  .service = it.service,
                                   .started = wall_clock(now_)},
         hooks, time());
 }
--- a/packages/testing/src/emulator/relay_world_faults.cpp
+++ b/packages/testing/src/emulator/relay_world_faults.cpp
@@ -52,7 +52,7 @@
     crash_host(host);
     it.running = true;
     it.listening = true;
-    it.service = other_service;
+    it.service = options_.other_service;
     kill_host_process(host);
     start_host_process(host);
 }
@@ -113,7 +113,7 @@
 }
 
 void relay_world::change_route() {
-    routing_.routes.front().targets = {{other_service, 1}};
+    routing_.routes.front().targets = {{options_.other_service, 1}};
     ++routing_.version;
     send_change(store_.put(routing_));
 }
--- a/packages/testing/src/emulator/relay_world_state.hpp
+++ b/packages/testing/src/emulator/relay_world_state.hpp
@@ -17,7 +17,6 @@
 inline constexpr std::uint32_t first_client_address = 0x64400001;
 inline const endpoint service_address{0xc6120001, 443};
 inline const service_id main_service = service_id_of("participa");
-inline const service_id other_service = service_id_of("acervo");
 inline constexpr duration tick_interval = milliseconds(25);
 inline constexpr duration store_answer_time = milliseconds(4);
 // Client retransmission: first after 200 ms, then the interval doubles.
--- a/packages/testing/src/emulator/relay_world_test.cpp
+++ b/packages/testing/src/emulator/relay_world_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(planned_stop_of_a_host_process_cuts_no_new_flow);
     CPPUNIT_TEST(flows_survive_a_route_change);
     CPPUNIT_TEST(reused_address_gets_no_flow_of_the_old_service);
+    CPPUNIT_TEST(reused_address_gets_no_flow_of_a_service_with_the_same_tag);
     CPPUNIT_TEST(a_flow_from_a_reused_port_is_not_mixed_with_the_old_one);
     CPPUNIT_TEST_SUITE_END();
 
@@ -379,6 +380,28 @@
                              join_lines(world.found_violations()));
     }
 
+    // Guards against flows at a host of another service whose name has the same
+    // 16-bit tag (review/4).
+    void reused_address_gets_no_flow_of_a_service_with_the_same_tag() {
+        const auto main_service = service_id_of("participa");
+        const service_id twin(main_service.value() ^ 0x10000U);
+        CPPUNIT_ASSERT(relay::make_service_tag(main_service) ==
+                       relay::make_service_tag(twin));
+        relay_world world({.other_service = twin});
+        world.run_until(startup_time);
+        const auto before = open_flows(world, 60);
+        // The store still holds the old registration.
+        world.reuse_address(1);
+        const auto after = open_flows(world, 60);
+        send_all(world, before, 1);
+        send_all(world, after, 2);
+        world.run_for(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             join_lines(world.found_violations()));
+        for (const auto it : after)
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.answers(it));
+    }
+
     // A host keeps the flow that a client abandoned when it used the port
     // again. The host process must not take packets of the new flow, which
     // another host owns, for packets of the old one, and must not reset it.
