A dead host ends a flow only if no other host has it

Cause: entry_relay::on_known_flow reset a flow when the owner in its hint was dead. The hint came from a host that had accepted a copy of the opening packet and that the client never confirmed; the flow's host had announced it to the entries of another data centre only.

Change: a dead owner is ruled out and the others are searched; the flow is reset after denials of all and a read barrier. Flows that a client has confirmed are reset by the process of the crashed host, as before. Not taken: an immediate reset where the acknowledgement is near the host's first sequence number, which is wrong for one in 65,536.

--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -308,21 +308,17 @@
         known.alternative = {};
     }
     const machine_address owner = known.owner;
-    if (peers_.host_is_dead(owner)) {
+    if (peers_.host_is_dead(owner) || !is_known_machine(owner)) {
+        // The owner may be a host that accepted a copy of the opening packet
+        // and that the client never confirmed. Another host has the flow then.
         hints_.erase(packet.flow);
         report({.severity = event::level::info,
-                .name = "flow_reset",
-                .reason = "host_dead",
+                .name = "owner_ruled_out",
+                .reason = is_known_machine(owner) ? "host_dead" : "host_gone",
                 .flow = packet.flow,
                 .machine = owner,
                 .inputs = {
                     {{"report_age_ms", peers_.report_age_ms(owner, now)}}}});
-        if (!packet.rst)
-            hooks_.reset(packet.flow, packet.acknowledged);
-        return;
-    }
-    if (!is_known_machine(owner)) {
-        hints_.erase(packet.flow);
         search_owner(packet, std::nullopt, now);
         return;
     }
--- a/packages/core/src/relay/entry_relay_test.cpp
+++ b/packages/core/src/relay/entry_relay_test.cpp
@@ -97,6 +97,8 @@
     CPPUNIT_TEST(no_flow_is_lost_by_an_outdated_directory);
     CPPUNIT_TEST(a_late_announcement_does_not_end_the_opening_of_a_reused_port);
     CPPUNIT_TEST(an_address_belongs_to_the_host_that_registered_last);
+    CPPUNIT_TEST(a_dead_host_that_accepted_a_copy_does_not_end_the_flow);
+    CPPUNIT_TEST(a_flow_of_a_dead_host_is_reset_if_no_other_host_has_it);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -193,7 +195,63 @@
             CPPUNIT_ASSERT(one.to != first_machine);
     }
 
+    // Guards against the reset of an open flow for the crash of a host that had
+    // accepted a copy of its opening packet, and that the client never
+    // confirmed (review/5; soak seed 5305).
+    void a_dead_host_that_accepted_a_copy_does_not_end_the_flow() {
+        fixture it;
+        time_point now = start + seconds(1);
+        crash_first_host(it, now);
+        it.packets.clear();
+        it.client_sends(client_start + 1, 9'000'001, false, now);
+        it.entry.flush(now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.resets);
+        it.host_accepts(second_machine, 9'000'000, now + milliseconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.resets);
+        CPPUNIT_ASSERT(!it.packets.empty());
+        CPPUNIT_ASSERT(it.packets.back().to == second_machine);
+        it.packets.clear();
+        now += milliseconds(10);
+        it.client_sends(client_start + 2, 9'000'002, false, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.packets.size());
+        CPPUNIT_ASSERT(it.packets[0].to == second_machine);
+    }
+
+    void a_flow_of_a_dead_host_is_reset_if_no_other_host_has_it() {
+        fixture it;
+        time_point now = start + seconds(1);
+        crash_first_host(it, now);
+        it.client_sends(client_start + 1, 500'001, false, now);
+        it.entry.flush(now);
+        now += milliseconds(5);
+        it.entry.on_message(second_machine, flow_denial{.not_owned = {flow}},
+                            now);
+        it.entry.flush(now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.reads.size());
+        now += milliseconds(15);
+        it.entry.on_store_read(it.reads[0], {.as_of = it.entry.known().as_of()},
+                               now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.resets);
+    }
+
 private:
+    // The first host accepts the flow's opening packet and crashes; the entry
+    // has run for long enough to know all hosts.
+    static void crash_first_host(fixture& it, time_point now) {
+        it.client_sends(client_start, 0, true, start);
+        it.host_accepts(first_machine, 500'000, start + milliseconds(5));
+        for (const auto machine : {first_machine, second_machine})
+            it.entry.on_message(
+                machine,
+                load_report{.service = make_service_tag(
+                                machine == first_machine ? first : second),
+                            .host = machine == first_machine
+                                        ? host_state::dead
+                                        : host_state::alive},
+                now - milliseconds(50));
+        it.entry.on_tick(now);
+    }
+
     inline static const machine_address reader{0x0a020001};
 
     static void hear_reader(fixture& it, time_point now) {
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -22,8 +22,7 @@
 bool is_taken_over(const directory& known, const directory::host& host) {
     const directory::host* newest =
         known.newest_at(host.record.address.address);
-    return newest != nullptr &&
-           newest->record.service != host.record.service &&
+    return newest != nullptr && newest->record.service != host.record.service &&
            make_service_tag(newest->record.service) ==
                make_service_tag(host.record.service);
 }
