A restarted host process does not deny the flows of a draining host

Callers would see: open flows reset when the process beside a draining host is restarted, which is planned work.

Cause: a draining host closes its listener and goes on. host_relay took a refused connection for the host's end whenever it knew no flows, also right after its own start.

Evidence: relay_world_test:: closed_listener_keeps_flows_of_a_restarted_host_process fails on the code before: "flow 100.64.0.1:1025>198.18.0.1:443 of live host 1 reset by entry at 4419 ms" and more.

Change: without known flows, a refused connection shows the end only if the process knows all flows or the host is registered as ready.

--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -38,6 +38,9 @@
     if (hello_message->host_started.value() + options_.restart_gap_ms >=
         options_.started.value())
         flows_complete_since_ = now - idle_timeout_;
+    if (state_ == host_state::listener_closed && flows_.empty() &&
+        refusal_shows_end(now))
+        end_all_flows(now);
     load_report report = make_report(now);
     report.entries = next_listed_entries(sender, now);
     hooks_.send(from, report);
--- a/packages/testing/src/emulator/relay_world_test.cpp
+++ b/packages/testing/src/emulator/relay_world_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(crash_resets_flows_after_an_unanswered_packet);
     CPPUNIT_TEST(listener_closed_before_the_drain_is_known_keeps_flows);
     CPPUNIT_TEST(closed_listener_of_draining_host_keeps_flows);
+    CPPUNIT_TEST(closed_listener_keeps_flows_of_a_restarted_host_process);
     CPPUNIT_TEST(unregistered_host_keeps_flows_at_a_restarted_entry);
     CPPUNIT_TEST(unanswered_packet_does_not_imply_flow_ownership);
     CPPUNIT_TEST(draining_host_gets_no_flow);
@@ -262,6 +263,28 @@
                              join_lines(world.found_violations()));
     }
 
+    // Guards against the reset of flows of a draining host: its process was
+    // restarted, knew none of its flows, and took the refused connection for the
+    // host's end.
+    void closed_listener_keeps_flows_of_a_restarted_host_process() {
+        relay_world world({});
+        world.run_until(startup_time);
+        const auto flows = open_flows(world, 60);
+        world.drain_host(1);
+        world.run_for(seconds(1));
+        world.close_listener(1);
+        world.kill_host_process(1);
+        world.run_for(milliseconds(500));
+        world.start_host_process(1);
+        world.run_for(milliseconds(100));
+        send_all(world, flows, 0);
+        world.run_for(seconds(4));
+        CPPUNIT_ASSERT_EQUAL(std::string(),
+                             join_lines(world.found_violations()));
+        for (const auto it : flows)
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.answers(it));
+    }
+
     // Guards against resets in trouble-1, seed 417787054063: an entry that
     // started after the host was unregistered did not query that host.
     void unregistered_host_keeps_flows_at_a_restarted_entry() {
