A report that a host is dead does not end its flows

Cause: reports of one run carry no order, and a search did not ask processes that had reported their host as dead.

Evidence: entry_relay_test:: an_outdated_report_does_not_end_the_flows_of_a_live_host fails on the code before: 1 reset where 0 is expected.

Change: a search asks them too, as long as they answer hellos; the process beside a crashed host ends soon after it and then delays no reset (a_dead_host_whose_process_has_ended_delays_no_reset). A process denies with certainty once its host has ended. The test a_flow_of_a_dead_host_is_reset_if_no_other_host_has_it now has the denial of the dead host's process as well, since that is asked now.

--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -195,8 +195,8 @@
                                          time_point now) const;
     void search_owner(const segment& packet,
                       std::optional<machine_address> denied, time_point now);
-    std::vector<owner_search::target>
-    search_targets(const flow_key& flow) const;
+    std::vector<owner_search::target> search_targets(const flow_key& flow,
+                                                     time_point now) const;
     void reset_unowned_flow(const owner_search::conclusion& it);
     std::array<event_input, 4>
     conclusion_inputs(const owner_search::conclusion& it) const;
--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -117,13 +117,15 @@
     /// @brief True if every followed process has answered its first hello or
     /// has exceeded the silence timeout.
     bool has_initial_reports(time_point now) const;
-    /// @brief Returns all processes whose host may own a flow. Likely owners
-    /// are hosts of the services that its route names now and that have not
-    /// sent their flows yet. Other hosts are included because a flow keeps its
-    /// host when a new configuration changes its route.
+    /// @brief Returns all processes whose host may own a flow. A process that
+    /// reported its host as dead is among them while it answers, because a
+    /// newer report may have been lost or overtaken. Likely owners are hosts of
+    /// the services that its route names now and that have not sent their flows
+    /// yet. Other hosts are included because a flow keeps its host when a new
+    /// configuration changes its route.
     std::vector<owner_search::target>
     possible_owners(std::span<const service_tag> services,
-                    std::uint64_t flow_hash) const;
+                    std::uint64_t flow_hash, time_point now) const;
     /// @brief Returns the followed hosts of a service that may receive new
     /// flows; all of its hosts if none of the followed ones is reachable.
     std::vector<candidate> candidates(const directory& known,
--- a/packages/core/include/arbutusport/relay/owner_search.hpp
+++ b/packages/core/include/arbutusport/relay/owner_search.hpp
@@ -82,7 +82,8 @@
 
     struct hooks {
         /// Returns the processes that may currently own a flow.
-        std::function<std::vector<target>(const flow_key&)> targets;
+        std::function<std::vector<target>(const flow_key&, time_point now)>
+            targets;
         std::function<void(const target&, byte_view datagram)> send;
         std::function<void(machine_address, std::vector<flow_key>)> query;
         /// Called when no host owns the flow.
@@ -162,7 +163,8 @@
     bool send_probe(search& state, const target& one, time_point now);
     void probe_uncertain(const flow_key& flow, search& state, time_point now);
     std::vector<target> remaining_targets(const flow_key& flow,
-                                          const search& state) const;
+                                          const search& state,
+                                          time_point now) const;
     void wait_for_conclusion(const flow_key& flow, search& state,
                              time_point now);
     /// @brief Returns false if targets remain to be queried; otherwise removes
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -29,33 +29,35 @@
               hooks_.send(to, it);
           },
           [this](const event& it) { report(it); }),
-      search_(
-          options_.search,
-          {.targets = [this](const flow_key& it) { return search_targets(it); },
-           .send =
-               [this](const owner_search::target& to, byte_view datagram) {
-                   hooks_.forward(to.machine,
-                                  {forwarding_mode::search, to.service},
-                                  datagram);
-               },
-           .query =
-               [this](machine_address to, std::vector<flow_key> flows) {
-                   hooks_.send(to, flow_query{std::move(flows)});
-               },
-           .not_found = [this](const owner_search::conclusion& it,
-                               time_point) { reset_unowned_flow(it); },
-           .complete_until =
-               [this](time_point now) { return hosts_complete_until(now); },
-           .require_complete =
-               [this](time_point since) { barrier_.require(since); },
-           .unresolved =
-               [this](const owner_search::conclusion& it) {
-                   report({.severity = event::level::info,
-                           .name = "dropped",
-                           .reason = "owner_unknown",
-                           .flow = it.flow,
-                           .inputs = conclusion_inputs(it)});
-               }}),
+      search_(options_.search,
+              {.targets =
+                   [this](const flow_key& it, time_point now) {
+                       return search_targets(it, now);
+                   },
+               .send =
+                   [this](const owner_search::target& to, byte_view datagram) {
+                       hooks_.forward(to.machine,
+                                      {forwarding_mode::search, to.service},
+                                      datagram);
+                   },
+               .query =
+                   [this](machine_address to, std::vector<flow_key> flows) {
+                       hooks_.send(to, flow_query{std::move(flows)});
+                   },
+               .not_found = [this](const owner_search::conclusion& it,
+                                   time_point) { reset_unowned_flow(it); },
+               .complete_until =
+                   [this](time_point now) { return hosts_complete_until(now); },
+               .require_complete =
+                   [this](time_point since) { barrier_.require(since); },
+               .unresolved =
+                   [this](const owner_search::conclusion& it) {
+                       report({.severity = event::level::info,
+                               .name = "dropped",
+                               .reason = "owner_unknown",
+                               .flow = it.flow,
+                               .inputs = conclusion_inputs(it)});
+                   }}),
       barrier_(options_.barrier,
                {.send = [this](machine_address to,
                                const message& it) { hooks_.send(to, it); },
@@ -343,14 +345,14 @@
 // Any host may own the flow, including draining and unregistered ones. Hosts of
 // the services that the route names are searched first.
 std::vector<owner_search::target>
-entry_relay::search_targets(const flow_key& flow) const {
+entry_relay::search_targets(const flow_key& flow, time_point now) const {
     const route* flow_route = directory_.find_route(flow.service);
     if (flow_route == nullptr)
         return {};
     std::vector<service_tag> services;
     for (const weighted_service& it : flow_route->targets)
         services.push_back(make_service_tag(it.service));
-    return peers_.possible_owners(services, hash_of(flow));
+    return peers_.possible_owners(services, hash_of(flow), now);
 }
 
 // Hosts that are no longer registered are listed in the hellos of other
--- a/packages/core/src/relay/entry_relay_test.cpp
+++ b/packages/core/src/relay/entry_relay_test.cpp
@@ -99,6 +99,8 @@
     CPPUNIT_TEST(an_address_belongs_to_the_host_that_registered_last);
     CPPUNIT_TEST(a_dead_host_that_accepted_a_copy_does_not_end_the_flow);
     CPPUNIT_TEST(a_flow_of_a_dead_host_is_reset_if_no_other_host_has_it);
+    CPPUNIT_TEST(an_outdated_report_does_not_end_the_flows_of_a_live_host);
+    CPPUNIT_TEST(a_dead_host_whose_process_has_ended_delays_no_reset);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -219,18 +221,46 @@
 
     void a_flow_of_a_dead_host_is_reset_if_no_other_host_has_it() {
         fixture it;
-        time_point now = start + seconds(1);
+        const time_point now = start + seconds(1);
         crash_first_host(it, now);
         it.client_sends(client_start + 1, 500'001, false, now);
         it.entry.flush(now);
-        now += milliseconds(5);
+        for (const auto machine : {first_machine, second_machine})
+            it.entry.on_message(machine, flow_denial{.not_owned = {flow}},
+                                now + milliseconds(5));
+        finish_barrier(it, now + milliseconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.resets);
+    }
+
+    // Guards against the reset of an open flow: the report that its host had
+    // started was lost, or was overtaken by the one before it.
+    void an_outdated_report_does_not_end_the_flows_of_a_live_host() {
+        fixture it;
+        const time_point now = start + seconds(1);
+        crash_first_host(it, now);
+        it.packets.clear();
+        it.client_sends(client_start + 1, 500'001, false, now);
+        it.entry.flush(now);
         it.entry.on_message(second_machine, flow_denial{.not_owned = {flow}},
-                            now);
+                            now + milliseconds(5));
+        finish_barrier(it, now + milliseconds(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.resets);
+        it.host_accepts(first_machine, 500'000, now + milliseconds(40));
+        CPPUNIT_ASSERT(!it.packets.empty());
+        CPPUNIT_ASSERT(it.packets.back().to == first_machine);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.resets);
+    }
+
+    // The process beside a crashed host ends soon after it and cannot answer.
+    void a_dead_host_whose_process_has_ended_delays_no_reset() {
+        fixture it;
+        crash_first_host(it, start + seconds(1));
+        const time_point now = start + seconds(3);
+        it.client_sends(client_start + 1, 500'001, false, now);
         it.entry.flush(now);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.reads.size());
-        now += milliseconds(15);
-        it.entry.on_store_read(it.reads[0], {.as_of = it.entry.known().as_of()},
-                               now);
+        it.entry.on_message(second_machine, flow_denial{.not_owned = {flow}},
+                            now + milliseconds(5));
+        finish_barrier(it, now + milliseconds(5));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.resets);
     }
 
@@ -252,6 +282,15 @@
         it.entry.on_tick(now);
     }
 
+    // The store answers the read that the entry has requested.
+    static void finish_barrier(fixture& it, time_point now) {
+        it.entry.flush(now);
+        if (!it.reads.empty())
+            it.entry.on_store_read(it.reads.back(),
+                                   {.as_of = it.entry.known().as_of()},
+                                   now + milliseconds(15));
+    }
+
     inline static const machine_address reader{0x0a020001};
 
     static void hear_reader(fixture& it, time_point now) {
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -52,7 +52,8 @@
                           time_point now) {
     flow_denial denial;
     owned_flows here = make_owned_flows();
-    auto& denied = knows_all_flows(now) ? denial.not_owned : denial.uncertain;
+    const bool is_certain = state_ == host_state::dead || knows_all_flows(now);
+    auto& denied = is_certain ? denial.not_owned : denial.uncertain;
     for (const flow_key& flow : it.flows) {
         const auto known = flows_.find(flow);
         if (known == flows_.end() || state_ == host_state::dead)
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -313,12 +313,13 @@
 
 std::vector<owner_search::target>
 host_peers::possible_owners(std::span<const service_tag> services,
-                            std::uint64_t flow_hash) const {
+                            std::uint64_t flow_hash, time_point now) const {
     std::vector<owner_search::target> out;
     std::vector<std::pair<std::uint64_t, machine_address>> likely_machines;
     for (const auto& [machine, it] : peers_) {
         const bool dead = it.has_reported && it.report.host == host_state::dead;
-        if (dead)
+        // The process beside a crashed host ends soon after it.
+        if (dead && now - it.heard_at > interval(it) + options_.answer_delay)
             continue;
         const bool near = it.data_centre == options_.data_centre ||
                           it.data_centre == data_centre_id();
@@ -329,8 +330,8 @@
         // A process that has sent its flows and knows all of them has announced
         // this one if its host owns it.
         const bool has_announced = it.sent_flows && it.report.knows_all_flows;
-        if (is_target_service && it.data_centre == options_.data_centre &&
-            !has_announced)
+        if (!dead && is_target_service &&
+            it.data_centre == options_.data_centre && !has_announced)
             likely_machines.emplace_back(placement_rank(flow_hash, machine),
                                          machine);
     }
--- a/packages/core/src/relay/owner_search.cpp
+++ b/packages/core/src/relay/owner_search.cpp
@@ -53,7 +53,7 @@
 
 void owner_search::start_round(const flow_key& flow, search& state,
                                time_point now) {
-    const auto targets = remaining_targets(flow, state);
+    const auto targets = remaining_targets(flow, state, now);
     if (targets.empty()) {
         wait_for_conclusion(flow, state, now);
         return;
@@ -109,7 +109,7 @@
         });
     if (any_undecided && now - state.probed_at < options_.probe_timeout)
         return;
-    auto targets = remaining_targets(flow, state);
+    auto targets = remaining_targets(flow, state, now);
     std::erase_if(targets, [&](const target& one) {
         return !state.uncertain.contains(one.machine);
     });
@@ -120,9 +120,9 @@
 }
 
 std::vector<owner_search::target>
-owner_search::remaining_targets(const flow_key& flow,
-                                const search& state) const {
-    auto targets = hooks_.targets(flow);
+owner_search::remaining_targets(const flow_key& flow, const search& state,
+                                time_point now) const {
+    auto targets = hooks_.targets(flow, now);
     std::erase_if(targets, [&](const target& one) {
         return state.denied.contains(one.machine);
     });
@@ -149,7 +149,7 @@
 bool owner_search::conclude(const flow_key& flow, time_point now) {
     const auto it = searches_.find(flow);
     // Hosts may have been added to the targets since the last denial.
-    if (!remaining_targets(flow, it->second).empty()) {
+    if (!remaining_targets(flow, it->second, now).empty()) {
         it->second.all_denied = false;
         return false;
     }
@@ -175,7 +175,7 @@
     if (known == searches_.end() || !known->second.denied.insert(from).second)
         return;
     search& state = known->second;
-    const auto left = remaining_targets(flow, state);
+    const auto left = remaining_targets(flow, state, now);
     const auto likely = [](const target& one) { return one.likely; };
     if (left.empty())
         wait_for_conclusion(flow, state, now);
--- a/packages/core/src/relay/owner_search_test.cpp
+++ b/packages/core/src/relay/owner_search_test.cpp
@@ -33,7 +33,8 @@
     explicit fixture(std::size_t processes, std::size_t likely,
                      owner_search_options options = {})
         : search(options,
-                 {.targets = [this](const flow_key&) { return targets; },
+                 {.targets = [this](const flow_key&,
+                                    time_point) { return targets; },
                   .send = [this](const owner_search::target& to,
                                  byte_view) { probed.push_back(to.machine); },
                   .query =
