No read barrier before the first listing

Found while reading the diff: an entry that has just been restarted may be asked for a barrier by a follower that knows its earlier run. It has no directory then, and a read of the changes after revision 0 would have filled it with recent changes alone.

Evidence: by reading; entry_relay_test::an_entry_without_a_directory_makes_no_barrier guards it.

Change: barriers start once a listing has been adopted.

--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -165,7 +165,11 @@
     advance_barrier(now);
 }
 
+// Without a directory a read would bring recent changes only, which look like
+// the whole.
 void entry_relay::advance_barrier(time_point now) {
+    if (!directory_.is_ready())
+        return;
     barrier_.advance(directory_, reading_ ? std::nullopt : entries_.reader(),
                      now);
 }
--- a/packages/core/src/relay/entry_relay_test.cpp
+++ b/packages/core/src/relay/entry_relay_test.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(a_flow_of_a_dead_host_is_reset_if_no_other_host_has_it);
     CPPUNIT_TEST(an_outdated_report_does_not_end_the_flows_of_a_live_host);
     CPPUNIT_TEST(a_dead_host_whose_process_has_ended_delays_no_reset);
+    CPPUNIT_TEST(an_entry_without_a_directory_makes_no_barrier);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -264,6 +265,32 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.resets);
     }
 
+    // Guards against a directory of recent changes alone: an entry that has
+    // just been restarted is asked for a barrier before it has listed the
+    // store.
+    void an_entry_without_a_directory_makes_no_barrier() {
+        std::size_t reads = 0;
+        entry_relay entry(
+            {.self = machine_address(0x0a010009)},
+            {.forward = [](machine_address, routing_mark, byte_view) {},
+             .reset = [](const flow_key&, std::uint32_t) {},
+             .send = [](machine_address, const message&) {},
+             .decode = [](byte_view) { return std::nullopt; },
+             .restart_reading = [](const char*) {},
+             .set_reading_enabled = [](bool, revision) {},
+             .read_store = [&](std::uint64_t, revision) { ++reads; },
+             .report = [](const event&) {}});
+        entry.on_message(machine_address(0x0a020002), barrier_request{1},
+                         start);
+        entry.flush(start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, reads);
+        entry.on_listing(revision(5),
+                         {{revision(2), routing_document{.version = 1}}},
+                         start + milliseconds(20));
+        entry.flush(start + milliseconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reads);
+    }
+
 private:
     // The first host accepts the flow's opening packet and crashes; the entry
     // has run for long enough to know all hosts.
