--- a/packages/testing/src/emulator/relay_world_test.cpp
+++ b/packages/testing/src/emulator/relay_world_test.cpp
@@ -264,8 +264,8 @@
     }
 
     // Guards against the reset of flows of a draining host: its process was
-    // restarted, knew none of its flows, and took the refused connection for the
-    // host's end.
+    // restarted, knew none of its flows, and took the refused connection for
+    // the host's end.
     void closed_listener_keeps_flows_of_a_restarted_host_process() {
         relay_world world({});
         world.run_until(startup_time);
