--- a/packages/core/include/arbutusport/relay/directory.hpp
+++ b/packages/core/include/arbutusport/relay/directory.hpp
@@ -33,20 +33,48 @@
                            const weighted_service&) = default;
 };
 
+/// @brief What callers of a route need, as the operator states it.
+struct route_terms {
+    /// An answer within this time, from the first attempt, is in time; 0 if
+    /// not stated.
+    duration target_latency{};
+    /// A client gives up after this time; 0 if not stated.
+    duration timeout{};
+    /// 0 is the highest.
+    std::uint8_t priority = 0;
+
+    friend bool operator==(const route_terms&, const route_terms&) = default;
+};
+
 /// @brief The services that receive new flows to one address.
 struct route {
     endpoint address;
     std::vector<weighted_service> targets;
+    /// Not passed on between processes: known to one that has read the route
+    /// from the store, otherwise left at its defaults.
+    route_terms terms;
 
     friend bool operator==(const route&, const route&) = default;
 };
 
+/// @brief How many opening packets a host of the service bears in a second
+/// while it is cold. A rate of 0 means no limit.
+struct warmup_limit {
+    service_id service;
+    duration warmup{};
+    double openings_per_second = 0;
+
+    friend bool operator==(const warmup_limit&, const warmup_limit&) = default;
+};
+
 /// @brief The part of the operator's configuration that concerns flows.
 struct routing_document {
     std::uint64_t version = 0;
     /// An idle flow may be removed after this time.
     duration idle_timeout = std::chrono::seconds(15);
     std::vector<route> routes;
+    /// Only services with a limit.
+    std::vector<warmup_limit> warmup_limits;
 };
 
 /// @brief A host as it registered itself.
@@ -71,10 +99,22 @@
     host_key key;
 };
 
+/// @brief The operator requests that no new flow is sent to the hosts of the
+/// data centre.
+struct evacuation_set {
+    data_centre_id data_centre;
+};
+
+struct evacuation_removed {
+    data_centre_id data_centre;
+};
+
 /// @brief One item of the store and the revision of its last change.
 struct directory_change {
     revision at;
-    std::variant<routing_document, host_record, host_removed> what;
+    std::variant<routing_document, host_record, host_removed, evacuation_set,
+                 evacuation_removed>
+        what;
 };
 
 /// @brief A copy of the whole directory, as exchanged between peers.
--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -40,6 +40,21 @@
     dead,
 };
 
+/// @brief The operator's intent for a host, as its relay process needs it to
+/// check opening packets. The newest position counts.
+struct host_directive {
+    revision as_of;
+    /// The host's data centre is evacuated.
+    bool evacuated = false;
+    /// Opening packets that the cold host bears in a second; 0: no limit.
+    double openings_per_second = 0;
+    /// How much longer the host is cold.
+    duration cold_left{};
+
+    friend bool operator==(const host_directive&,
+                           const host_directive&) = default;
+};
+
 /// @brief Sent by an entry to a host's relay process at a regular interval.
 struct hello {
     incarnation run;
@@ -50,6 +65,36 @@
     unix_milliseconds host_started{};
     /// Requests all flows that the data centre's entries should know.
     bool wants_flows = false;
+    /// The sender understands load_report::work. Sent, like the directive, with
+    /// a type of its own, which earlier builds drop.
+    bool wants_work = false;
+    /// Requests that the registered host processes at once; 0 if unknown. Only
+    /// together with `wants_work`.
+    std::uint16_t slots = 0;
+    /// Only together with `wants_work`.
+    std::optional<host_directive> directive;
+};
+
+/// @brief What a host still has to do and how fast it is, as its relay process
+/// has learned from packets. Constant in size.
+struct host_work {
+    /// Work left of the requests in progress or queued, as a time: how long
+    /// all slots of the host are busy with it. In microseconds.
+    std::uint32_t backlog_us = 0;
+    /// Mean service time of a request at this host, without waiting, in
+    /// microseconds; 0 before anything was measured.
+    std::uint32_t service_us = 0;
+    /// High quantile of the service time, in microseconds.
+    std::uint32_t service_high_us = 0;
+    /// Requests in a second over about the last seconds, in thousandths.
+    std::uint32_t requests_milli_per_second = 0;
+    /// Opening packets that the host process still delivers at once; unlimited
+    /// if the host is not cold or has no limit.
+    std::uint16_t opening_room = unlimited_room;
+
+    static constexpr std::uint16_t unlimited_room = 0xffff;
+
+    friend bool operator==(const host_work&, const host_work&) = default;
 };
 
 /// @brief Answer to a hello; also sent when `host` changes.
@@ -67,6 +112,8 @@
     std::uint32_t flows = 0;
     /// Entries from which the process receives hellos.
     std::vector<machine_address> entries;
+    /// Sent only to entries whose hello has `wants_work`.
+    std::optional<host_work> work;
 };
 
 /// @brief A flow and the sequence numbers with which it was opened.
@@ -182,10 +229,29 @@
     std::uint64_t digest = 0;
 };
 
-using message =
-    std::variant<hello, load_report, owned_flows, flow_query, flow_denial,
-                 packet_returned, peer_hello, directory_request, directory_part,
-                 directory_delta, barrier_request, barrier_reply>;
+/// @brief An evacuated data centre and the position of the operator's request.
+struct evacuation {
+    data_centre_id data_centre;
+    revision at;
+
+    friend bool operator==(const evacuation&, const evacuation&) = default;
+};
+
+/// @brief What the sender knows of the operator's intent beside routes, in
+/// full, as of one position. Sent by an entry that reads the store to those of
+/// its data centre, and with a directory on request. Earlier builds drop it.
+struct operator_intent {
+    revision as_of;
+    /// Of the configuration that `warmup_limits` are from.
+    std::uint64_t version = 0;
+    std::vector<evacuation> evacuations;
+    std::vector<warmup_limit> warmup_limits;
+};
+
+using message = std::variant<hello, load_report, owned_flows, flow_query,
+                             flow_denial, packet_returned, peer_hello,
+                             directory_request, directory_part, directory_delta,
+                             barrier_request, barrier_reply, operator_intent>;
 
 /// @brief Name of the message's type, for metrics.
 const char* type_name(const message& it);
--- a/packages/core/include/arbutusport/relay/placement.hpp
+++ b/packages/core/include/arbutusport/relay/placement.hpp
@@ -29,6 +29,10 @@
     std::uint32_t placed_since = 0;
     /// Consecutive opening packets that the host did not answer in time.
     std::uint32_t unanswered = 0;
+    /// As last reported; empty if the host process runs an earlier build.
+    std::optional<host_work> work;
+    /// Age of that report.
+    duration report_age{};
 };
 
 struct placement_options {
--- a/packages/core/src/relay/directory.cpp
+++ b/packages/core/src/relay/directory.cpp
@@ -44,7 +44,9 @@
         overloaded{
             [&](const routing_document& it) { apply_routing(change.at, it); },
             [&](const host_record& it) { apply_host(change.at, it, now); },
-            [&](const host_removed& it) { remove_host(it.key, now); }},
+            [&](const host_removed& it) { remove_host(it.key, now); },
+            // Kept by evacuation_table.
+            [](const evacuation_set&) {}, [](const evacuation_removed&) {}},
         change.what);
     update_derived();
     return true;
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -32,11 +32,23 @@
     // Positions state their era always.
     barrier_request,
     barrier_reply,
+    // A hello followed by an optional directive, and a load_report followed by
+    // the host's work.
+    hello_with_directive,
+    load_report_with_work,
+    operator_intent,
 };
 
+constexpr auto last_type = type::operator_intent;
+
 constexpr std::size_t flow_bytes = 2 * endpoint_bytes + 8;
 constexpr std::size_t departed_bytes = 6;
 constexpr std::size_t host_key_bytes = 8;
+constexpr std::size_t evacuation_bytes = 24;
+constexpr std::size_t warmup_limit_bytes = 20;
+// Rates are sent in thousandths of an opening a second.
+constexpr double rate_unit = 1000;
+constexpr double max_rate = 4e9 / rate_unit;
 
 void put(byte_writer& out, const flow_key& it) {
     put(out, it.client);
@@ -74,18 +86,85 @@
     return static_cast<Enum>(value);
 }
 
+void put(byte_writer& out, const revision& it) {
+    out.put(it.era().value());
+    out.put(it.number());
+}
+
+revision take_revision(byte_reader& in) {
+    const store_era era(in.take<std::uint64_t>());
+    return {in.take<std::uint64_t>(), era};
+}
+
+void put_duration(byte_writer& out, duration it) {
+    out.put(static_cast<std::uint64_t>(it.count()));
+}
+
+duration take_duration(byte_reader& in) {
+    return duration(static_cast<duration::rep>(in.take<std::uint64_t>()));
+}
+
+void put_rate(byte_writer& out, double it) {
+    out.put(
+        static_cast<std::uint32_t>(std::clamp(it, 0.0, max_rate) * rate_unit));
+}
+
+double take_rate(byte_reader& in) {
+    return in.take<std::uint32_t>() / rate_unit;
+}
+
+void put(byte_writer& out, const host_directive& it) {
+    put(out, it.as_of);
+    put_flag(out, it.evacuated);
+    put_rate(out, it.openings_per_second);
+    put_duration(out, it.cold_left);
+}
+
+host_directive take_directive(byte_reader& in) {
+    host_directive it;
+    it.as_of = take_revision(in);
+    it.evacuated = take_flag(in);
+    it.openings_per_second = take_rate(in);
+    it.cold_left = take_duration(in);
+    return it;
+}
+
+void put(byte_writer& out, const host_work& it) {
+    out.put(it.backlog_us);
+    out.put(it.service_us);
+    out.put(it.service_high_us);
+    out.put(it.requests_milli_per_second);
+    out.put(it.opening_room);
+}
+
+host_work take_work(byte_reader& in) {
+    host_work it;
+    it.backlog_us = in.take<std::uint32_t>();
+    it.service_us = in.take<std::uint32_t>();
+    it.service_high_us = in.take<std::uint32_t>();
+    it.requests_milli_per_second = in.take<std::uint32_t>();
+    it.opening_room = in.take<std::uint16_t>();
+    return it;
+}
+
 void write(byte_writer& out, const hello& it) {
-    put_type(out, type::hello);
+    put_type(out, it.wants_work ? type::hello_with_directive : type::hello);
     out.put(it.run.value());
     out.put(it.data_centre.value());
     out.put(static_cast<std::uint64_t>(it.idle_timeout.count()));
     out.put(static_cast<std::uint8_t>(it.registered));
     out.put(it.host_started.value());
     put_flag(out, it.wants_flows);
+    if (!it.wants_work)
+        return;
+    out.put(it.slots);
+    put_flag(out, it.directive.has_value());
+    if (it.directive)
+        put(out, *it.directive);
 }
 
 void write(byte_writer& out, const load_report& it) {
-    put_type(out, type::load_report);
+    put_type(out, it.work ? type::load_report_with_work : type::load_report);
     out.put(it.run.value());
     out.put(it.service.value());
     out.put(static_cast<std::uint8_t>(it.host));
@@ -94,6 +173,8 @@
     out.put(it.busy_milli);
     out.put(it.flows);
     put(out, it.entries);
+    if (it.work)
+        put(out, *it.work);
 }
 
 void write(byte_writer& out, const owned_flows& it) {
@@ -220,11 +301,27 @@
 void write(byte_writer& out, const barrier_reply& it) {
     put_type(out, type::barrier_reply);
     out.put(it.id);
-    out.put(it.as_of.era().value());
-    out.put(it.as_of.number());
+    put(out, it.as_of);
     out.put(it.digest);
 }
 
+void write(byte_writer& out, const operator_intent& it) {
+    put_type(out, type::operator_intent);
+    put(out, it.as_of);
+    out.put(it.version);
+    put_count(out, it.evacuations.size());
+    for (const evacuation& one : it.evacuations) {
+        out.put(one.data_centre.value());
+        put(out, one.at);
+    }
+    put_count(out, it.warmup_limits.size());
+    for (const warmup_limit& one : it.warmup_limits) {
+        out.put(one.service.value());
+        put_duration(out, one.warmup);
+        put_rate(out, one.openings_per_second);
+    }
+}
+
 hello read_hello(byte_reader& in) {
     hello it;
     it.run = incarnation(in.take<std::uint64_t>());
@@ -237,6 +334,15 @@
     return it;
 }
 
+hello read_hello_with_directive(byte_reader& in) {
+    hello it = read_hello(in);
+    it.wants_work = true;
+    it.slots = in.take<std::uint16_t>();
+    if (take_flag(in))
+        it.directive = take_directive(in);
+    return it;
+}
+
 load_report read_load_report(byte_reader& in) {
     load_report it;
     it.run = incarnation(in.take<std::uint64_t>());
@@ -250,6 +356,12 @@
     return it;
 }
 
+load_report read_load_report_with_work(byte_reader& in) {
+    load_report it = read_load_report(in);
+    it.work = take_work(in);
+    return it;
+}
+
 owned_flows read_owned_flows(byte_reader& in) {
     owned_flows it;
     it.outstanding = in.take<std::uint32_t>();
@@ -328,12 +440,28 @@
 barrier_reply read_barrier_reply(byte_reader& in) {
     barrier_reply it;
     it.id = in.take<std::uint64_t>();
-    const store_era era(in.take<std::uint64_t>());
-    it.as_of = revision(in.take<std::uint64_t>(), era);
+    it.as_of = take_revision(in);
     it.digest = in.take<std::uint64_t>();
     return it;
 }
 
+operator_intent read_operator_intent(byte_reader& in) {
+    operator_intent it;
+    it.as_of = take_revision(in);
+    it.version = in.take<std::uint64_t>();
+    for (auto n = in.take_count(evacuation_bytes); n > 0; --n) {
+        const data_centre_id data_centre(in.take<std::uint64_t>());
+        it.evacuations.push_back({data_centre, take_revision(in)});
+    }
+    for (auto n = in.take_count(warmup_limit_bytes); n > 0; --n) {
+        warmup_limit one{.service = service_id(in.take<std::uint64_t>())};
+        one.warmup = take_duration(in);
+        one.openings_per_second = take_rate(in);
+        it.warmup_limits.push_back(one);
+    }
+    return it;
+}
+
 message read(type kind, byte_reader& in) {
     switch (kind) {
     case type::hello:
@@ -373,9 +501,15 @@
     case type::barrier_request:
         return barrier_request{in.take<std::uint64_t>()};
     case type::barrier_reply:
+        return read_barrier_reply(in);
+    case type::hello_with_directive:
+        return read_hello_with_directive(in);
+    case type::load_report_with_work:
+        return read_load_report_with_work(in);
+    case type::operator_intent:
         break;
     }
-    return read_barrier_reply(in);
+    return read_operator_intent(in);
 }
 
 } // namespace
@@ -428,7 +562,8 @@
         "hello",           "load_report",       "owned_flows",
         "flow_query",      "flow_denial",       "packet_returned",
         "peer_hello",      "directory_request", "directory_part",
-        "directory_delta", "barrier_request",   "barrier_reply"};
+        "directory_delta", "barrier_request",   "barrier_reply",
+        "operator_intent"};
     return names[it.index()];
 }
 
@@ -442,7 +577,7 @@
     byte_reader in(data);
     const auto kind = in.take<std::uint8_t>();
     if (kind < static_cast<std::uint8_t>(type::hello) ||
-        kind > static_cast<std::uint8_t>(type::barrier_reply))
+        kind > static_cast<std::uint8_t>(last_type))
         return reject("unknown message type");
     message out = read(static_cast<type>(kind), in);
     if (!in.complete())
