Place flows by expected completion and speed of hosts

Flows were spread by number of requests and flows, so hosts of unequal speed got equal numbers of long flows, and one request of many times the usual work counted as one. Several entries chose the same idle host between two reports, since a placement counted as a fiftieth of a request.

expected_completion compares the candidates by the work that their host processes report: work left, which drains as the report ages, flows opened since, and flows by capacity (slots x speed). Entries know what others have opened from the hosts' announcements. A placement counts until a report that can include its first request. With fewer than two hosts that report work the order is unchanged; a test compares it on 2,000 random sets of hosts.

--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -198,7 +198,7 @@
     std::vector<owner_search::target> search_targets(const flow_key& flow,
                                                      time_point now) const;
     void reset_unowned_flow(const owner_search::conclusion& it);
-    std::array<event_input, 4>
+    std::array<event_input, max_event_inputs>
     conclusion_inputs(const owner_search::conclusion& it) const;
     event_input version_input() const;
     event_input as_of_input() const;
--- a/packages/core/include/arbutusport/relay/events.hpp
+++ b/packages/core/include/arbutusport/relay/events.hpp
@@ -5,6 +5,7 @@
 #include <arbutusport/relay/messages.hpp>
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -17,6 +18,8 @@
     std::int64_t value = 0;
 };
 
+constexpr std::size_t max_event_inputs = 6;
+
 /// @brief The set of names is fixed in the code, so their number is bounded.
 struct event {
     /// counted: not logged, since it would occur with every packet.
@@ -28,7 +31,7 @@
     flow_key flow;
     machine_address machine;
     std::uint64_t value = 0;
-    std::array<event_input, 4> inputs{};
+    std::array<event_input, max_event_inputs> inputs{};
 };
 
 } // namespace arbutusport::relay
--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -54,6 +54,24 @@
     duration unanswered_retention = std::chrono::seconds(2);
 };
 
+/// @brief Number of flows whose first request the last report of their host
+/// cannot include. The requests follow the opening by about a round trip.
+class recent_count {
+public:
+    void add(time_point now);
+    void subtract(std::uint32_t n);
+    /// @brief Keeps what was counted just before the report.
+    void on_report(time_point now);
+    void clear() { *this = {}; }
+    std::uint32_t value() const { return total_; }
+
+private:
+    std::uint32_t total_ = 0;
+    /// Part of `total_` since `newest_from_`.
+    std::uint32_t newest_ = 0;
+    time_point newest_from_;
+};
+
 class host_peers {
 public:
     struct peer {
@@ -71,7 +89,10 @@
         time_point known_since;
         time_point hello_at;
         load_report report;
-        std::uint32_t placed_since = 0;
+        /// Flows that this entry placed there and that were not announced, and
+        /// those that were announced, since the last report.
+        recent_count placed;
+        recent_count opened;
         std::uint32_t unanswered = 0;
         time_point unanswered_at;
         /// The process has sent its flows to this entry process.
@@ -99,8 +120,8 @@
     std::vector<machine_address> take_due_hellos(const directory& known,
                                                  time_point now);
     void on_report(machine_address from, const load_report& it, time_point now);
-    void on_flows(machine_address from, const owned_flows& it);
-    void on_placed(machine_address machine);
+    void on_flows(machine_address from, const owned_flows& it, time_point now);
+    void on_placed(machine_address machine, time_point now);
     void on_answered(machine_address machine);
     void on_unanswered(machine_address machine, time_point now);
     /// @brief Restarts the timeouts of all peers after this process was
--- a/packages/core/include/arbutusport/relay/placement.hpp
+++ b/packages/core/include/arbutusport/relay/placement.hpp
@@ -27,6 +27,9 @@
     std::uint32_t flows = 0;
     /// Flows that this entry placed there since `flows` was reported.
     std::uint32_t placed_since = 0;
+    /// Flows that were announced to this entry, whoever placed them, and whose
+    /// first request the last report cannot include.
+    std::uint32_t opened_since = 0;
     /// Consecutive opening packets that the host did not answer in time.
     std::uint32_t unanswered = 0;
     /// As last reported; empty if the host process runs an earlier build.
@@ -59,6 +62,10 @@
     /// Minimum load of a flow in requests in progress; used in particular
     /// before anything was measured.
     double default_flow_load = 0.02;
+    /// Load, in requests per slot, that one usual service time more for each
+    /// request adds. As with `remote_penalty`, it makes no request late by
+    /// itself; that slow hosts are full sooner is counted apart.
+    double service_weight = 0.25;
 };
 
 /// @brief Rank of a host for a flow; the lowest is considered first. Every
@@ -78,6 +85,11 @@
     bool reachable = true;
     /// Requests per slot, with the penalties of the options.
     double load = 0;
+    /// Relative to the service's usual host; 1 if it is not known.
+    double speed = 1;
+    /// Expected time until the flow's first request is complete; zero if no
+    /// work is reported.
+    duration completion{};
 };
 
 /// @brief Returns the host with the least expected load among those not in
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -30,7 +30,7 @@
             [&](const owned_flows& one) {
                 for (const owned_flow& flow : one.flows)
                     on_flow(from, flow, now);
-                peers_.on_flows(from, one);
+                peers_.on_flows(from, one, now);
             },
             [&](const flow_denial& one) {
                 for (const flow_key& flow : one.not_owned)
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -227,16 +227,19 @@
         return false;
     pending.tried.push_back(chosen->machine);
     pending.due = now + options_.answer_timeout;
-    peers_.on_placed(chosen->machine);
-    report({.name = "flow_placed",
-            .reason = pending.tried.size() > 1 ? "another_host" : "least_load",
-            .flow = flow,
-            .machine = chosen->machine,
-            .inputs = {
-                {{"load_milli", static_cast<std::int64_t>(1000 * chosen->load)},
-                 {"load_age_ms", peers_.report_age_ms(chosen->machine, now)},
-                 {"attempt", static_cast<std::int64_t>(pending.tried.size())},
-                 version_input()}}});
+    peers_.on_placed(chosen->machine, now);
+    report(
+        {.name = "flow_placed",
+         .reason = pending.tried.size() > 1 ? "another_host" : "least_load",
+         .flow = flow,
+         .machine = chosen->machine,
+         .inputs = {
+             {{"load_milli", static_cast<std::int64_t>(1000 * chosen->load)},
+              {"load_age_ms", peers_.report_age_ms(chosen->machine, now)},
+              {"completion_us", chosen->completion.count()},
+              {"speed_milli", static_cast<std::int64_t>(1000 * chosen->speed)},
+              {"attempt", static_cast<std::int64_t>(pending.tried.size())},
+              version_input()}}});
     hooks_.forward(chosen->machine, make_placement_mark(pending.service),
                    pending.datagram);
     return true;
@@ -392,7 +395,7 @@
     hooks_.reset(it.flow, it.acknowledged);
 }
 
-std::array<event_input, 4>
+std::array<event_input, max_event_inputs>
 entry_relay::conclusion_inputs(const owner_search::conclusion& it) const {
     return {{{"denials", static_cast<std::int64_t>(it.denials)},
              {"after_ms", it.after / std::chrono::milliseconds(1)},
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t max_listed_departed = 64;
 // Reports of an earlier run of a process arrive late by at most this time.
 constexpr duration earlier_run_timeout = std::chrono::seconds(1);
+// The first request follows the opening by a client's round trip, a few
+// milliseconds within a region; a report includes it after that.
+constexpr duration first_request_delay = std::chrono::milliseconds(20);
 
 // Whether a host of another service has registered at the address since, and
 // the process there cannot be told apart by its tag.
@@ -29,6 +32,26 @@
 
 } // namespace
 
+void recent_count::add(time_point now) {
+    if (now - newest_from_ > first_request_delay) {
+        newest_ = 0;
+        newest_from_ = now;
+    }
+    ++newest_;
+    ++total_;
+}
+
+void recent_count::subtract(std::uint32_t n) {
+    total_ -= std::min(total_, n);
+    newest_ = std::min(newest_, total_);
+}
+
+void recent_count::on_report(time_point now) {
+    if (now - newest_from_ > first_request_delay)
+        newest_ = 0;
+    total_ = newest_;
+}
+
 // The hosts of one service, as far as the selection of followed ones needs
 // them.
 struct host_peers::service_hosts {
@@ -81,7 +104,8 @@
     // Figures of a process that is not followed become outdated.
     it.has_reported = false;
     it.sent_flows = false;
-    it.placed_since = 0;
+    it.placed.clear();
+    it.opened.clear();
     it.unanswered = 0;
 }
 
@@ -210,12 +234,14 @@
     known.heard_at = now;
     known.report = report;
     known.service = report.service;
-    known.placed_since = 0;
+    known.placed.on_report(now);
+    known.opened.on_report(now);
     if (now - known.unanswered_at > options_.unanswered_retention)
         known.unanswered = 0;
 }
 
-void host_peers::on_flows(machine_address from, const owned_flows& here) {
+void host_peers::on_flows(machine_address from, const owned_flows& here,
+                          time_point now) {
     const auto it = peers_.find(from);
     if (it == peers_.end())
         return;
@@ -224,12 +250,16 @@
     known.report.outstanding = here.outstanding;
     known.report.flows = here.total;
     const auto announced = static_cast<std::uint32_t>(here.flows.size());
-    known.placed_since -= std::min(known.placed_since, announced);
+    known.placed.subtract(announced);
+    // An opening is announced alone, to all entries of its data centre. Longer
+    // lists name flows that the host has had for some time.
+    if (announced == 1)
+        known.opened.add(now);
 }
 
-void host_peers::on_placed(machine_address machine) {
+void host_peers::on_placed(machine_address machine, time_point now) {
     if (const auto it = peers_.find(machine); it != peers_.end())
-        ++it->second.placed_since;
+        it->second.placed.add(now);
 }
 
 void host_peers::on_answered(machine_address machine) {
@@ -383,13 +413,16 @@
     const bool has_reported = known != nullptr && known->has_reported;
     if (known != nullptr) {
         out.reachable = !known->followed || is_reachable(*known, now);
-        out.placed_since = known->placed_since;
+        out.placed_since = known->placed.value();
+        out.opened_since = known->opened.value();
         out.unanswered = known->unanswered;
     }
     if (has_reported) {
         out.busy = known->report.busy_milli / 1000.0;
         out.outstanding = known->report.outstanding;
         out.flows = known->report.flows;
+        out.work = known->report.work;
+        out.report_age = now - known->heard_at;
     }
     if (host.lapsed)
         out.reachable = out.reachable && has_reported;
--- a/packages/core/src/relay/placement.cpp
+++ b/packages/core/src/relay/placement.cpp
@@ -1,44 +1,15 @@
 // Host selection by least expected load, preferring the own data centre.
 
 #include <arbutusport/base/hash.hpp>
+#include <arbutusport/relay/expected_completion.hpp>
 #include <arbutusport/relay/placement.hpp>
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace arbutusport::relay {
 
-namespace {
-
-// Mean number of requests in progress per flow over the service's hosts.
-double load_per_flow(std::span<const candidate> hosts,
-                     const placement_options& options) {
-    double busy = 0;
-    double flows = 0;
-    for (const candidate& it : hosts) {
-        busy += it.busy;
-        flows += it.flows;
-    }
-    return std::max(flows > 0 ? busy / flows : 0, options.default_flow_load);
-}
-
-// Expected requests per slot. Half of the weight is on the number of flows,
-// because flows that are idle now send requests to the host later.
-double expected_load(const candidate& it, double flow_load,
-                     const placement_options& options) {
-    const double requests = 0.5 * it.busy + 0.5 * flow_load * it.flows +
-                            flow_load * it.placed_since;
-    const double waiting =
-        it.outstanding > it.slots ? 0.5 * (it.outstanding - it.slots) : 0;
-    const double slots = std::max<double>(it.slots, 1);
-    const double factor = it.warming_up ? options.warmup_factor : 1;
-    return factor * (requests + waiting) / slots +
-           (it.local ? 0 : options.remote_penalty) +
-           options.unanswered_penalty * it.unanswered;
-}
-
-} // namespace
-
 std::uint64_t placement_rank(std::uint64_t flow_hash, machine_address machine) {
     return hash_combine(machine.value(), flow_hash);
 }
@@ -48,15 +19,20 @@
                                     const placement_options& options) {
     if (std::ranges::any_of(hosts, &candidate::reachable))
         std::erase_if(hosts, [](const auto& it) { return !it.reachable; });
-    const auto key = [&](const candidate& it) {
-        return std::pair(!it.local, placement_rank(flow_hash, it.machine));
-    };
-    std::ranges::sort(hosts, {}, key);
+    // Ranks and indices of the local hosts, then of the remote ones.
+    std::vector<std::pair<std::uint64_t, std::size_t>> ranks[2];
+    for (std::size_t i = 0; i < hosts.size(); ++i)
+        ranks[hosts[i].local ? 0 : 1].emplace_back(
+            placement_rank(flow_hash, hosts[i].machine), i);
     std::vector<candidate> out;
-    std::size_t taken_counts[2] = {0, 0};
-    for (candidate& it : hosts)
-        if (taken_counts[it.local ? 1 : 0]++ < options.ranked_hosts)
-            out.push_back(it);
+    for (auto& group : ranks) {
+        const auto end =
+            group.begin() + static_cast<std::ptrdiff_t>(
+                                std::min(group.size(), options.ranked_hosts));
+        std::ranges::partial_sort(group, end);
+        for (auto it = group.begin(); it != end; ++it)
+            out.push_back(hosts[it->second]);
+    }
     return out;
 }
 
@@ -64,7 +40,7 @@
                                        std::span<const machine_address> tried,
                                        std::uint64_t tie_breaker,
                                        const placement_options& options) {
-    const double flow_load = load_per_flow(hosts, options);
+    const completion_estimator estimator(hosts, options);
     const auto rank = [&](const host_choice& it) {
         return std::tuple(!it.reachable, it.load,
                           hash_combine(tie_breaker, it.machine.value()));
@@ -73,8 +49,9 @@
     for (const candidate& it : hosts) {
         if (std::ranges::find(tried, it.machine) != tried.end())
             continue;
-        const host_choice choice{it.machine, it.reachable,
-                                 expected_load(it, flow_load, options)};
+        const completion_estimate expected = estimator.estimate(it);
+        const host_choice choice{it.machine, it.reachable, expected.load,
+                                 expected.speed, expected.completion};
         if (!best || rank(choice) < rank(*best))
             best = choice;
     }
--- a/packages/core/src/relay/placement_test.cpp
+++ b/packages/core/src/relay/placement_test.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <map>
+#include <random>
 
 namespace arbutusport::relay {
 
@@ -44,6 +45,10 @@
     CPPUNIT_TEST(flows_are_divided_by_weight);
     CPPUNIT_TEST(a_full_service_spills_to_one_with_capacity);
     CPPUNIT_TEST(load_meter_follows_requests);
+    CPPUNIT_TEST(without_measurement_requests_and_flows_decide);
+    CPPUNIT_TEST(the_host_that_is_done_first_is_chosen);
+    CPPUNIT_TEST(flows_follow_the_speed_of_hosts);
+    CPPUNIT_TEST(small_differences_of_speed_do_not_count);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -193,6 +198,89 @@
         CPPUNIT_ASSERT_EQUAL(0U, it.outstanding());
         CPPUNIT_ASSERT(it.mean(start + seconds(10)) < 0.1);
     }
+
+    // Guards against another order at fleets whose hosts report no work.
+    void without_measurement_requests_and_flows_decide() {
+        std::mt19937 random(1);
+        for (int round = 0; round < 2000; ++round) {
+            std::vector<candidate> hosts;
+            double busy = 0;
+            double flows = 0;
+            for (std::uint32_t i = 1; i <= 8; ++i) {
+                candidate it = random() % 2 == 0 ? local(i) : remote(i);
+                it.warming_up = random() % 8 == 0;
+                it.busy = random() % 4000 / 1000.0;
+                it.outstanding = random() % 8;
+                it.flows = random() % 40;
+                it.placed_since = random() % 4;
+                it.opened_since = random() % 4;
+                it.report_age = std::chrono::milliseconds(random() % 1000);
+                it.unanswered = random() % 16 == 0 ? 1 : 0;
+                if (i == 1)
+                    it.work = host_work{.backlog_us = 9000, .service_us = 9000};
+                busy += it.busy;
+                flows += it.flows;
+                hosts.push_back(it);
+            }
+            const double flow_load =
+                std::max(flows > 0 ? busy / flows : 0, 0.02);
+            const auto best =
+                std::ranges::min_element(hosts, {}, [&](const auto& it) {
+                    const double waiting =
+                        it.outstanding > 2 ? it.outstanding - 2 : 0;
+                    return (it.warming_up ? 1.6 : 1) *
+                               (0.5 * it.busy + 0.5 * flow_load * it.flows +
+                                flow_load * it.placed_since + 0.5 * waiting) /
+                               2 +
+                           (it.local ? 0 : 0.25) + it.unanswered;
+                });
+            CPPUNIT_ASSERT_EQUAL(best->machine.value(), chosen(hosts));
+        }
+    }
+
+    // Guards against counting a request of many times the usual work as one.
+    void the_host_that_is_done_first_is_chosen() {
+        auto hosts = measured({10'000, 10'000});
+        hosts[0].busy = hosts[0].outstanding = 1;
+        hosts[0].work->backlog_us = 100'000;
+        hosts[1].busy = hosts[1].outstanding = 2;
+        hosts[1].work->backlog_us = 8'000;
+        CPPUNIT_ASSERT_EQUAL(2U, chosen(hosts));
+        // The same for what was placed since.
+        hosts[0].work->backlog_us = hosts[1].work->backlog_us = 0;
+        hosts[0].busy = hosts[0].outstanding = 2;
+        hosts[1].opened_since = 10;
+        CPPUNIT_ASSERT_EQUAL(1U, chosen(hosts));
+    }
+
+    // Guards against equal numbers of long flows at unequal hosts.
+    void flows_follow_the_speed_of_hosts() {
+        auto hosts = measured({10'000, 10'000, 20'000});
+        for (std::uint64_t i = 0; i < 1000; ++i)
+            ++hosts[chosen(hosts, i) - 1].flows;
+        CPPUNIT_ASSERT(hosts[2].flows >= 150 && hosts[2].flows <= 250);
+    }
+
+    // Guards against ranks that change with the noise of measured means.
+    void small_differences_of_speed_do_not_count() {
+        auto hosts = measured({10'000, 11'000});
+        hosts[0].flows = 11;
+        hosts[1].flows = 10;
+        CPPUNIT_ASSERT_EQUAL(2U, chosen(hosts));
+        hosts[1].work->service_us = 20'000;
+        CPPUNIT_ASSERT_EQUAL(1U, chosen(hosts));
+    }
+
+private:
+    static std::vector<candidate>
+    measured(const std::vector<std::uint32_t>& service_us) {
+        std::vector<candidate> out;
+        for (const std::uint32_t it : service_us) {
+            out.push_back(local(static_cast<std::uint32_t>(out.size() + 1)));
+            out.back().work = host_work{.service_us = it};
+        }
+        return out;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(placement_test);
