Learn a host's service times and backlog from packets

Cause: reports count requests, so entries know neither what requests cost at a host nor how long its requests will still take.

Change: service_times keeps a decaying distribution of service times, work_meter models the host's slots and queue, and host_relay feeds both from packets.

--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -7,6 +7,7 @@
 #include <arbutusport/relay/load_meter.hpp>
 #include <arbutusport/relay/messages.hpp>
 #include <arbutusport/relay/segment.hpp>
+#include <arbutusport/relay/work_meter.hpp>
 
 #include <functional>
 #include <map>
@@ -90,6 +91,8 @@
 
     host_state state() const { return state_; }
     std::size_t flows() const { return flows_.size(); }
+    /// @brief What the host's requests cost and what it still has to do.
+    const work_meter& work() const { return work_; }
     /// @brief The data centre of an entry; 0 if unknown.
     data_centre_id data_centre_of(machine_address entry) const;
 
@@ -109,6 +112,12 @@
         bool busy = false;
         bool client_closed = false;
         bool host_closed = false;
+        // End of the data that each end has sent so far, to tell new data from
+        // repetitions. Repeated client data may have been lost before, and
+        // counts as new, if the process has not seen all earlier data.
+        std::uint32_t client_data_end = 0;
+        std::uint32_t host_data_end = 0;
+        bool client_data_has_gap = false;
     };
     // An opening packet, or one of an unknown flow, that was delivered to the
     // host to find out whether the host accepts it.
@@ -125,6 +134,8 @@
         machine_address last_listed;
         // 0 until known.
         duration idle_timeout{};
+        // It understands load_report::work.
+        bool wants_work = false;
     };
 
     bool is_for_own_service(const routing_mark& mark) const;
@@ -153,6 +164,11 @@
     void end_all_flows(time_point now);
     void deliver(machine_address via, const segment& packet, time_point now);
     void set_busy(flow_state& it, bool busy, time_point now);
+    void measure_client_data(flow_state& flow, const segment& packet,
+                             time_point now);
+    void measure_host_data(flow_state& flow, const segment& packet,
+                           time_point now);
+    host_work make_work(time_point now) const;
     bool knows_all_flows(time_point now) const;
     load_report make_report(time_point now);
     void send_report_to_all(time_point now);
@@ -170,6 +186,7 @@
     // The longest one of `entries_`, once an entry has sent one.
     duration idle_timeout_;
     load_meter load_;
+    work_meter work_;
     host_state state_ = host_state::alive;
     bool is_stopping_ = false;
     // The last registration that entries reported, and when it arrived.
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -33,6 +33,9 @@
     entry& sender = entries_[from];
     sender.data_centre = hello_message->data_centre;
     sender.heard_at = now;
+    sender.wants_work = hello_message->wants_work;
+    if (hello_message->slots > 0)
+        work_.set_slots(hello_message->slots, now);
     set_idle_timeout(sender, hello_message->idle_timeout);
     on_registration(hello_message->registered, now);
     if (hello_message->host_started.value() + options_.restart_gap_ms >=
@@ -43,6 +46,8 @@
         end_all_flows(now);
     load_report report = make_report(now);
     report.entries = next_listed_entries(sender, now);
+    if (sender.wants_work)
+        report.work = make_work(now);
     hooks_.send(from, report);
     if (hello_message->wants_flows)
         send_flows(from, hello_message->data_centre, now);
@@ -139,6 +144,7 @@
     if (it == flows_.end())
         return;
     set_busy(it->second, false, now);
+    work_.on_flow_end(flow, now);
     flows_.erase(it);
 }
 
@@ -195,9 +201,12 @@
 }
 
 void host_relay::send_report_to_all(time_point now) {
-    const message report = make_report(now);
-    for (const auto& [machine, one] : entries_)
+    load_report report = make_report(now);
+    for (const auto& [machine, one] : entries_) {
+        report.work =
+            one.wants_work ? std::optional(make_work(now)) : std::nullopt;
         hooks_.send(machine, report);
+    }
 }
 
 // Lists the entries of the recipient's data centre in turn, so that they find
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -111,8 +111,10 @@
         flow.acknowledged = packet.acknowledged;
     if (const auto via = data_centre_of(from); via != data_centre_id())
         flow.via = via;
-    if (packet.payload_bytes > 0)
+    if (packet.payload_bytes > 0) {
         set_busy(flow, true, now);
+        measure_client_data(flow, packet, now);
+    }
     if (packet.fin)
         flow.client_closed = true;
     if (packet.rst)
@@ -130,6 +132,7 @@
     } else if (packet.syn) {
         const auto pending = pending_deliveries_.find(packet.flow);
         flow_state& flow = flows_[packet.flow];
+        const bool is_copy = flow.host_start == packet.sequence;
         flow.host_start = packet.sequence;
         // The host acknowledges the client's first sequence number + 1.
         flow.client_start = packet.acknowledged - 1;
@@ -142,6 +145,10 @@
                 flow.via = via;
             pending_deliveries_.erase(pending);
         }
+        if (!is_copy) {
+            flow.client_data_end = flow.client_start + 1;
+            flow.host_data_end = flow.host_start + 1;
+        }
         hooks_.report(
             {.name = "flow_opened", .flow = packet.flow, .machine = entry});
         announce(packet.flow, flow, now, entry);
@@ -151,6 +158,7 @@
         flow.established_by_host = true;
         if (packet.payload_bytes > 0)
             set_busy(flow, false, now);
+        measure_host_data(flow, packet, now);
         if (packet.fin)
             flow.host_closed = true;
     }
@@ -169,7 +177,9 @@
             .host_start = packet.sequence,
             .acknowledged = packet.sequence,
             .used_at = now,
-            .confirmed = true};
+            .confirmed = true,
+            .client_data_end = packet.acknowledged,
+            .host_data_end = packet.sequence};
     machine_address entry;
     if (const auto pending = pending_deliveries_.find(packet.flow);
         pending != pending_deliveries_.end()) {
@@ -284,6 +294,7 @@
     flows_.clear();
     pending_deliveries_.clear();
     load_.clear(now);
+    work_.clear();
     set_state(host_state::dead, now);
 }
 
