--- a/packages/core/include/arbutusport/relay/work_meter.hpp
+++ b/packages/core/include/arbutusport/relay/work_meter.hpp
@@ -14,9 +14,10 @@
 namespace arbutusport::relay {
 
 struct work_meter_options {
-    /// A request without an answer for this long no longer counts. Longer than
-    /// clients wait for an answer (10 s at most so far), so that it bounds only
-    /// what is left behind by lost packets and silent hosts.
+    /// A request that has waited, or has had a slot, for this long without an
+    /// answer no longer counts. Longer than clients wait for an answer (10 s at
+    /// most so far), so that it bounds only what is left behind by lost packets
+    /// and silent hosts.
     duration request_timeout = std::chrono::seconds(30);
     /// More routes than a service has. Further routes, and ones that have no
     /// samples yet, have the values of all routes together.
@@ -52,6 +53,10 @@
     /// learned stays: the next host on the machine has similar hardware.
     void clear();
 
+    /// @brief Removes requests without an answer for too long. Must be called
+    /// about every second; on_request() does so too.
+    void expire(time_point now);
+
     /// @brief Expected time until all slots have finished the requests in
     /// progress, if the work is spread evenly. At most `request_timeout` for
     /// each request in progress, divided by the slots.
@@ -92,9 +97,7 @@
     std::size_t slots() const;
     void assign_slots(time_point free_since);
     void erase(request_list::iterator it, time_point free_since);
-    void expire(time_point now);
-    bool is_plausible(const route_state& it, duration sample,
-                      time_point now) const;
+    void erase_started_by(time_point limit, time_point now);
     void learn(route_state& it, duration sample, time_point now);
     void count_request(time_point now);
 
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -122,6 +122,7 @@
     if (now - last_sweep_at_ < sweep_interval)
         return;
     last_sweep_at_ = now;
+    work_.expire(now);
     std::vector<flow_key> ended;
     for (const auto& [flow, it] : flows_) {
         const duration silent = now - it.used_at;
--- a/packages/core/src/relay/work_meter.cpp
+++ b/packages/core/src/relay/work_meter.cpp
@@ -123,25 +123,32 @@
         return;
     }
     // A host refuses at once what it cannot queue. An answer after a service
-    // time shows that it had a slot, so a request is lost that still counts as
-    // being processed.
+    // time shows that the request had a slot, so those that seem to have held
+    // all slots since its arrival are lost.
+    const time_point arrived_at = it->arrived_at;
     const bool was_served =
-        now - it->arrived_at >= std::max(times_of(route).mean(), min_service);
+        now - arrived_at >= std::max(times_of(route).mean(), min_service);
     erase(it, now);
-    if (was_served && !in_service_.empty())
-        erase(std::ranges::min_element(in_service_, {}, &request::started_at),
-              now);
+    if (was_served)
+        erase_started_by(arrived_at, now);
 }
 
-bool work_meter::is_plausible(const route_state& it, duration sample,
-                              time_point now) const {
-    return sample >= min_service && (sample >= it.times.mean() / max_speedup ||
-                                     now - it.learned_at > implausible_limit);
+void work_meter::erase_started_by(time_point limit, time_point now) {
+    for (auto it = in_service_.begin(); it != in_service_.end();) {
+        const auto current = it++;
+        if (current->started_at <= limit)
+            erase(current, now);
+    }
 }
 
 void work_meter::learn(route_state& it, duration sample, time_point now) {
-    if (!is_plausible(it, sample, now))
+    if (sample < min_service)
         return;
+    if (sample < it.times.mean() / max_speedup) {
+        if (now - it.learned_at <= implausible_limit)
+            return;
+        it.times = {};
+    }
     all_.add(sample, now);
     it.learned_at = now;
     if (&it != &other_)
@@ -162,16 +169,11 @@
         it.in_progress = it.waiting = 0;
 }
 
-// Removes requests that had no answer for too long.
 void work_meter::expire(time_point now) {
     const time_point limit = now - options_.request_timeout;
-    while (!waiting_.empty() && waiting_.front().arrived_at < limit)
+    while (!waiting_.empty() && waiting_.front().arrived_at <= limit)
         erase(waiting_.begin(), now);
-    for (auto it = in_service_.begin(); it != in_service_.end();) {
-        const auto current = it++;
-        if (current->started_at < limit)
-            erase(current, now);
-    }
+    erase_started_by(limit, now);
 }
 
 const service_times& work_meter::times_of(const route_state& it) const {
--- a/packages/testing/include/arbutusport/emulator/bench.hpp
+++ b/packages/testing/include/arbutusport/emulator/bench.hpp
@@ -36,5 +36,7 @@
 void bench_flow_control(std::uint64_t seed, const figure_sink& sink);
 /// @brief Memory and processor time of idle processes.
 void bench_process(std::uint64_t seed, const figure_sink& sink);
+/// @brief Processor time to measure a request and to state the backlog.
+void bench_work(std::uint64_t seed, const figure_sink& sink);
 
 } // namespace arbutusport::emulator
--- a/packages/testing/src/tools/bench_main.cpp
+++ b/packages/testing/src/tools/bench_main.cpp
@@ -22,7 +22,7 @@
     {"routing", bench_routing},   {"config", bench_config},
     {"requests", bench_requests}, {"path", bench_path},
     {"control", bench_control},   {"flow_control", bench_flow_control},
-    {"process", bench_process},
+    {"process", bench_process},   {"work", bench_work},
 };
 
 } // namespace
@@ -34,7 +34,8 @@
     options.add_options()("help", "show this text")(
         "seed", po::value(&seed), "seed of every random choice")(
         "area", po::value(&chosen),
-        "routing, config, requests, path, control, flow_control or process");
+        "routing, config, requests, path, control, flow_control, process or "
+        "work");
     po::positional_options_description positional;
     positional.add("area", -1);
     po::variables_map values;
