Check opening packets beside the host

Nothing kept what a cold host bears, and an entry that lags could place flows in an evacuated data centre. The host process now decides about each opening packet of a new flow: it adopts the directives of hellos, counts deliveries in a sliding window of one second, and returns the others with host_refused, which earlier builds know. Reports carry the room that is left to entries that want it. After a restart of the process, unknown deliveries count as used for one second.

Also fixes the conversion in messages.cpp that did not compile.

--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -6,6 +6,7 @@
 #include <arbutusport/relay/events.hpp>
 #include <arbutusport/relay/load_meter.hpp>
 #include <arbutusport/relay/messages.hpp>
+#include <arbutusport/relay/opening_gate.hpp>
 #include <arbutusport/relay/segment.hpp>
 
 #include <functional>
@@ -51,6 +52,7 @@
     duration entry_timeout = std::chrono::seconds(5);
     std::size_t max_flows = 200'000;
     std::size_t max_pending_deliveries = 8192;
+    opening_gate_options opening;
 };
 
 struct host_relay_hooks {
@@ -90,6 +92,7 @@
 
     host_state state() const { return state_; }
     std::size_t flows() const { return flows_.size(); }
+    const opening_gate& gate() const { return gate_; }
     /// @brief The data centre of an entry; 0 if unknown.
     data_centre_id data_centre_of(machine_address entry) const;
 
@@ -125,11 +128,15 @@
         machine_address last_listed;
         // 0 until known.
         duration idle_timeout{};
+        incarnation run;
+        // This run of the entry understands load_report::work.
+        bool wants_work = false;
     };
 
     bool is_for_own_service(const routing_mark& mark) const;
     void on_opening(machine_address from, const segment& packet,
                     time_point now);
+    bool is_copy_of_admitted(const segment& opening) const;
     void on_unknown_flow(machine_address from, const segment& packet,
                          time_point now);
     void update_from_client(machine_address from, flow_state& flow,
@@ -138,7 +145,7 @@
     void reject_packet(machine_address to, const segment& packet,
                        return_reason reason);
     void return_packet(machine_address to, const segment& packet,
-                       return_reason reason);
+                       return_reason reason, const char* logged_reason);
     flow_state& find_or_add_flow(const segment& packet, time_point now);
     void erase(const flow_key& flow, time_point now);
     void announce(const flow_key& flow, const flow_state& it, time_point now,
@@ -154,7 +161,9 @@
     void deliver(machine_address via, const segment& packet, time_point now);
     void set_busy(flow_state& it, bool busy, time_point now);
     bool knows_all_flows(time_point now) const;
-    load_report make_report(time_point now);
+    load_report make_report(time_point now, const entry& recipient);
+    host_work make_work(time_point now) const;
+    std::uint16_t opening_room_share(time_point now) const;
     void send_report_to_all(time_point now);
     std::vector<machine_address> next_listed_entries(entry& recipient,
                                                      time_point now);
@@ -170,6 +179,7 @@
     // The longest one of `entries_`, once an entry has sent one.
     duration idle_timeout_;
     load_meter load_;
+    opening_gate gate_;
     host_state state_ = host_state::alive;
     bool is_stopping_ = false;
     // The last registration that entries reported, and when it arrived.
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -12,7 +12,8 @@
 constexpr duration sweep_interval = std::chrono::seconds(1);
 // Entries listed in one report; later reports list the next ones.
 constexpr std::size_t max_listed_entries = 4;
-// Only entries heard within this time are listed, which covers two hellos.
+// Only entries heard within this time are listed, and share the room of a cold
+// host. It covers two hellos.
 constexpr duration listing_age = std::chrono::seconds(1);
 
 } // namespace
@@ -33,15 +34,20 @@
     entry& sender = entries_[from];
     sender.data_centre = hello_message->data_centre;
     sender.heard_at = now;
+    // An entry sends plain hellos too until this process has reported its work.
+    if (std::exchange(sender.run, hello_message->run) != hello_message->run)
+        sender.wants_work = false;
+    sender.wants_work = sender.wants_work || hello_message->wants_work;
     set_idle_timeout(sender, hello_message->idle_timeout);
     on_registration(hello_message->registered, now);
+    gate_.on_hello(*hello_message, now);
     if (hello_message->host_started.value() + options_.restart_gap_ms >=
         options_.started.value())
         flows_complete_since_ = now - idle_timeout_;
     if (state_ == host_state::listener_closed && flows_.empty() &&
         refusal_shows_end(now))
         end_all_flows(now);
-    load_report report = make_report(now);
+    load_report report = make_report(now, sender);
     report.entries = next_listed_entries(sender, now);
     hooks_.send(from, report);
     if (hello_message->wants_flows)
@@ -181,7 +187,7 @@
             .total = static_cast<std::uint32_t>(flows_.size())};
 }
 
-load_report host_relay::make_report(time_point now) {
+load_report host_relay::make_report(time_point now, const entry& recipient) {
     return {.run = options_.run,
             .service = make_service_tag(options_.service),
             .host = is_stopping_ && state_ == host_state::alive
@@ -191,13 +197,33 @@
             .outstanding = load_.outstanding(),
             .busy_milli = static_cast<std::uint32_t>(
                 1000 * std::max(load_.mean(now), 0.0)),
-            .flows = static_cast<std::uint32_t>(flows_.size())};
+            .flows = static_cast<std::uint32_t>(flows_.size()),
+            .work = recipient.wants_work ? std::optional(make_work(now))
+                                         : std::nullopt};
+}
+
+host_work host_relay::make_work(time_point now) const {
+    return {.opening_room = opening_room_share(now)};
+}
+
+// Each entry places within the room that it knows until the next report. If
+// each were told all of it, a report interval would bring many times the room,
+// and most of that would be returned.
+std::uint16_t host_relay::opening_room_share(time_point now) const {
+    const std::uint16_t room = gate_.room(now);
+    if (room == host_work::unlimited_room)
+        return room;
+    const auto entries = static_cast<std::size_t>(
+        std::ranges::count_if(entries_, [&](const auto& it) {
+            return now - it.second.heard_at <= listing_age;
+        }));
+    const auto n = std::max<std::size_t>(entries, 1);
+    return static_cast<std::uint16_t>((room + n - 1) / n);
 }
 
 void host_relay::send_report_to_all(time_point now) {
-    const message report = make_report(now);
     for (const auto& [machine, one] : entries_)
-        hooks_.send(machine, report);
+        hooks_.send(machine, make_report(now, one));
 }
 
 // Lists the entries of the recipient's data centre in turn, so that they find
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -18,8 +18,8 @@
 host_relay::host_relay(host_relay_options options, host_relay_hooks hooks,
                        time_point now)
     : options_(options), hooks_(std::move(hooks)),
-      idle_timeout_(options.initial_idle_timeout), flows_complete_since_(now),
-      last_sweep_at_(now) {}
+      idle_timeout_(options.initial_idle_timeout), gate_(options.opening, now),
+      flows_complete_since_(now), last_sweep_at_(now) {}
 
 void host_relay::on_entry(machine_address from, const segment& packet,
                           time_point now) {
@@ -75,6 +75,15 @@
     const auto known = flows_.find(packet.flow);
     if (known != flows_.end() && known->second.client_start != packet.sequence)
         erase(packet.flow, now);
+    if (!is_copy_of_admitted(packet)) {
+        const opening_verdict verdict = gate_.admit(now);
+        if (verdict != opening_verdict::deliver) {
+            // Earlier builds reject messages with a reason unknown to them.
+            return_packet(from, packet, return_reason::host_refused,
+                          to_string(verdict));
+            return;
+        }
+    }
     // The host's answer is announced to the entries of the data centre that
     // `from` belongs to.
     if (pending_deliveries_.size() < options_.max_pending_deliveries)
@@ -85,6 +94,17 @@
     deliver(from, packet, now);
 }
 
+// The host takes a flow once, however many copies of its opening packet arrive:
+// those of a flow that it has accepted or still has to answer are not counted.
+bool host_relay::is_copy_of_admitted(const segment& opening) const {
+    const auto known = flows_.find(opening.flow);
+    if (known != flows_.end())
+        return known->second.client_start == opening.sequence;
+    const auto pending = pending_deliveries_.find(opening.flow);
+    return pending != pending_deliveries_.end() &&
+           pending->second.sequence == opening.sequence;
+}
+
 void host_relay::on_unknown_flow(machine_address from, const segment& packet,
                                  time_point now) {
     if (knows_all_flows(now)) {
@@ -193,7 +213,8 @@
     if (packet.is_opening()) {
         if (pending != pending_deliveries_.end())
             pending_deliveries_.erase(pending);
-        return_packet(entry, packet, return_reason::host_refused);
+        return_packet(entry, packet, return_reason::host_refused,
+                      to_string(return_reason::host_refused));
         return;
     }
     if (pending != pending_deliveries_.end()) {
@@ -215,7 +236,8 @@
     const bool was_established = known->second.established_by_host;
     erase(packet.flow, now);
     if (!was_established) {
-        return_packet(entry, packet, return_reason::unknown_flow);
+        return_packet(entry, packet, return_reason::unknown_flow,
+                      to_string(return_reason::unknown_flow));
         return;
     }
     // The host owned this flow and has lost its state, so it has restarted.
@@ -231,13 +253,14 @@
     if (packet.mark.kind == forwarding_mode::search)
         hooks_.send(to, flow_denial{.not_owned = {packet.flow}});
     else
-        return_packet(to, packet, reason);
+        return_packet(to, packet, reason, to_string(reason));
 }
 
 void host_relay::return_packet(machine_address to, const segment& packet,
-                               return_reason reason) {
+                               return_reason reason,
+                               const char* logged_reason) {
     hooks_.report({.name = "packet_returned",
-                   .reason = to_string(reason),
+                   .reason = logged_reason,
                    .flow = packet.flow,
                    .machine = to});
     hooks_.send(
@@ -247,8 +270,10 @@
 
 void host_relay::on_host_accepted(time_point now) {
     // This process has missed no flow of a host that has just started.
-    if (state_ != host_state::alive)
+    if (state_ != host_state::alive) {
         flows_complete_since_ = now - idle_timeout_;
+        gate_.on_host_started(now);
+    }
     set_state(host_state::alive, now);
 }
 
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -93,7 +93,7 @@
 
 revision take_revision(byte_reader& in) {
     const store_era era(in.take<std::uint64_t>());
-    return {in.take<std::uint64_t>(), era};
+    return revision(in.take<std::uint64_t>(), era);
 }
 
 void put_duration(byte_writer& out, duration it) {
