Place flows at cold hosts within the room that they report

Entries send hellos with a directive, and to processes of an unknown build plain ones too. They know the limits of cold hosts from the configuration, leave out hosts without room before they rank hosts for a flow, and treat a cold host that returned an opening packet as without room until its next report. The directory keeps limits and route terms when a peer's view, which does not carry them, replaces the routes.

--- a/packages/core/include/arbutusport/relay/directory.hpp
+++ b/packages/core/include/arbutusport/relay/directory.hpp
@@ -75,6 +75,10 @@
     std::vector<route> routes;
     /// Only services with a limit.
     std::vector<warmup_limit> warmup_limits;
+    /// Services whose limit is stated but invalid: the last valid one holds.
+    std::vector<service_id> invalid_warmup_limits;
+    /// No limit could be read at all; all known ones hold.
+    bool warmup_limits_unreadable = false;
 };
 
 /// @brief A host as it registered itself.
@@ -195,6 +199,11 @@
     /// @brief Adopts a peer's newer state if the own one is its base.
     bool adopt_delta(const directory_delta& delta, time_point now);
 
+    /// @brief Adopts a peer's limits if their version of the configuration is
+    /// newer, or as new as the known ones. Returns whether the limits changed.
+    bool adopt_warmup_limits(std::uint64_t version,
+                             const std::vector<warmup_limit>& limits);
+
     /// @brief Records that vanish between this call and the end of the grace
     /// period after on_store_regained() may belong to hosts that are alive.
     void on_store_lost(time_point now);
@@ -212,12 +221,23 @@
     std::uint64_t version() const { return routing_.version; }
     duration idle_timeout() const { return routing_.idle_timeout; }
     const route* find_route(const endpoint& service) const;
+    /// @brief Whether the configuration's limits were read from the store or
+    /// received from a peer.
+    bool knows_warmup_limits() const { return knows_warmup_limits_; }
+    /// @brief Version of the configuration that the limits are from.
+    std::uint64_t warmup_limits_version() const {
+        return warmup_limits_version_;
+    }
+    /// @brief Null if the service has no limit, or none is known.
+    const warmup_limit* warmup_limit_of(service_id service) const;
+    std::vector<warmup_limit> warmup_limits() const;
     const std::map<host_key, host>& hosts() const { return hosts_; }
     /// @brief The newest record of a host at the IPv4 address, of any service;
     /// null if there is none.
     const host* newest_at(std::uint32_t address) const;
 
 private:
+    void apply_document(revision at, const routing_document& document);
     bool apply_routing(revision at, routing_document document);
     void apply_host(revision at, const host_record& record, time_point now);
     void put_host(revision at, const host_record& record, time_point now);
@@ -238,6 +258,11 @@
     revision routing_at_;
     routing_document routing_;
     std::unordered_map<endpoint, route> routes_;
+    // Not part of the encoded directory, nor of its digest: processes of
+    // earlier builds do not know them.
+    std::map<service_id, warmup_limit> warmup_limits_;
+    std::uint64_t warmup_limits_version_ = 0;
+    bool knows_warmup_limits_ = false;
     std::map<host_key, host> hosts_;
     // The newest host at each address; always matches `hosts_`.
     std::unordered_map<std::uint32_t, host_key> newest_by_address_;
--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -7,6 +7,7 @@
 
 #include <arbutusport/base/lru_map.hpp>
 #include <arbutusport/relay/directory.hpp>
+#include <arbutusport/relay/evacuation_table.hpp>
 #include <arbutusport/relay/events.hpp>
 #include <arbutusport/relay/host_changes.hpp>
 #include <arbutusport/relay/host_peers.hpp>
@@ -208,6 +209,7 @@
     void choose_reader(time_point now);
     peer_entries::local_status local_status(time_point now);
     void send_hellos(time_point now);
+    void send_hello(machine_address machine, time_point now);
 
     void on_report(machine_address from, const load_report& it, time_point now);
     void on_flow(machine_address from, const owned_flow& owned, time_point now);
@@ -225,6 +227,7 @@
     entry_relay_options options_;
     entry_relay_hooks hooks_;
     directory directory_;
+    evacuation_table evacuations_;
     host_peers peers_;
     peer_entries entries_;
     owner_search search_;
--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <arbutusport/relay/directory.hpp>
+#include <arbutusport/relay/hello_choice.hpp>
 #include <arbutusport/relay/messages.hpp>
 #include <arbutusport/relay/owner_search.hpp>
 #include <arbutusport/relay/placement.hpp>
@@ -52,6 +53,8 @@
     std::size_t likely_owners = 8;
     /// After this time an unanswered opening no longer counts.
     duration unanswered_retention = std::chrono::seconds(2);
+    /// The deployment limits the opening packets of cold hosts.
+    bool limits_cold_hosts = false;
 };
 
 class host_peers {
@@ -76,6 +79,13 @@
         time_point unanswered_at;
         /// The process has sent its flows to this entry process.
         bool sent_flows = false;
+        hello_choice hellos;
+        /// Registration of the host, to notice a host that has started anew.
+        host_key registered_as;
+        /// Flows placed there since the last report, and whether the process
+        /// has returned an opening packet since; for the room of a cold host.
+        std::uint32_t openings_since = 0;
+        bool returned_since = false;
     };
 
     explicit host_peers(host_peer_options options = {}) : options_(options) {}
@@ -98,10 +108,17 @@
     /// as sent.
     std::vector<machine_address> take_due_hellos(const directory& known,
                                                  time_point now);
+    /// @brief The kinds of the next hello to the process.
+    hello_kinds next_hello(machine_address machine, time_point now);
+    /// @brief Makes the hellos to the processes of a data centre due at once.
+    void hasten_hellos(data_centre_id data_centre);
     void on_report(machine_address from, const load_report& it, time_point now);
     void on_flows(machine_address from, const owned_flows& it);
     void on_placed(machine_address machine);
     void on_answered(machine_address machine);
+    /// @brief The process has returned an opening packet. A cold host then
+    /// counts as without room until its next report.
+    void on_returned(machine_address machine);
     void on_unanswered(machine_address machine, time_point now);
     /// @brief Restarts the timeouts of all peers after this process was
     /// suspended.
@@ -127,7 +144,8 @@
     possible_owners(std::span<const service_tag> services,
                     std::uint64_t flow_hash, time_point now) const;
     /// @brief Returns the followed hosts of a service that may receive new
-    /// flows; all of its hosts if none of the followed ones is reachable.
+    /// flows; all of its hosts if none of the followed ones is reachable and
+    /// has room left.
     std::vector<candidate> candidates(const directory& known,
                                       service_id service, time_point now) const;
 
@@ -142,8 +160,12 @@
     duration interval(const peer& it) const;
     duration silence_timeout(const peer& it) const;
     bool is_reachable(const peer& it, time_point now) const;
-    std::optional<candidate> make_candidate(const directory::host& host,
+    std::optional<candidate> make_candidate(const directory& known,
+                                            const directory::host& host,
                                             time_point now) const;
+    std::uint32_t opening_room(const directory& known,
+                               const directory::host& host, const peer& process,
+                               time_point now) const;
 
     host_peer_options options_;
     std::unordered_map<machine_address, peer> peers_;
--- a/packages/core/include/arbutusport/relay/placement.hpp
+++ b/packages/core/include/arbutusport/relay/placement.hpp
@@ -29,10 +29,15 @@
     std::uint32_t placed_since = 0;
     /// Consecutive opening packets that the host did not answer in time.
     std::uint32_t unanswered = 0;
+    /// Opening packets that the host may still receive; limited while it is
+    /// cold.
+    std::uint32_t opening_room = unlimited_room;
     /// As last reported; empty if the host process runs an earlier build.
     std::optional<host_work> work;
     /// Age of that report.
     duration report_age{};
+
+    static constexpr std::uint32_t unlimited_room = 0xffffffff;
 };
 
 struct placement_options {
@@ -68,7 +73,7 @@
 
 /// @brief Returns the hosts among which a flow is placed: the first local and
 /// the first remote ones by rank. Unreachable hosts are included only if there
-/// are no others.
+/// are no others. Hosts that have no room left are not included.
 std::vector<candidate> ranked_hosts(std::vector<candidate> hosts,
                                     std::uint64_t flow_hash,
                                     const placement_options& options = {});
@@ -80,9 +85,9 @@
     double load = 0;
 };
 
-/// @brief Returns the host with the least expected load among those not in
-/// `tried`; an unreachable one only if there are no others. Empty if all were
-/// tried. `tie_breaker` decides between equal hosts.
+/// @brief Returns the host with the least expected load among those that have
+/// room left and are not in `tried`; an unreachable one only if there are no
+/// others. Empty if all were tried. `tie_breaker` decides between equal hosts.
 std::optional<host_choice> choose_host(std::span<const candidate> hosts,
                                        std::span<const machine_address> tried,
                                        std::uint64_t tie_breaker,
--- a/packages/core/src/relay/directory.cpp
+++ b/packages/core/src/relay/directory.cpp
@@ -17,8 +17,8 @@
     enter_era(as_of, now);
     std::set<host_key> listed;
     for (auto& item : items) {
-        if (auto* document = std::get_if<routing_document>(&item.what))
-            apply_routing(item.at, std::move(*document));
+        if (const auto* document = std::get_if<routing_document>(&item.what))
+            apply_document(item.at, *document);
         else if (const auto* record = std::get_if<host_record>(&item.what)) {
             listed.insert(record->key);
             apply_host(item.at, *record, now);
@@ -42,7 +42,7 @@
         return false;
     std::visit(
         overloaded{
-            [&](const routing_document& it) { apply_routing(change.at, it); },
+            [&](const routing_document& it) { apply_document(change.at, it); },
             [&](const host_record& it) { apply_host(change.at, it, now); },
             [&](const host_removed& it) { remove_host(it.key, now); },
             // Kept by evacuation_table.
@@ -164,9 +164,14 @@
         return false;
     routing_at_ = at;
     routing_ = std::move(document);
-    routes_.clear();
-    for (const route& it : routing_.routes)
-        routes_.emplace(it.address, it);
+    // A peer's copy lacks the terms; the known ones are kept.
+    const auto previous = std::exchange(routes_, {});
+    for (const route& it : routing_.routes) {
+        route& added = routes_.emplace(it.address, it).first->second;
+        const auto known = previous.find(it.address);
+        if (known != previous.end() && added.terms == route_terms())
+            added.terms = known->second.terms;
+    }
     return true;
 }
 
--- a/packages/core/src/relay/directory_test.cpp
+++ b/packages/core/src/relay/directory_test.cpp
@@ -81,9 +81,62 @@
     CPPUNIT_TEST(a_registration_after_the_restore_counts_at_once);
     CPPUNIT_TEST(the_newest_host_at_an_address_outlasts_a_restore);
     CPPUNIT_TEST(followers_keep_hosts_that_a_new_reader_does_not_know);
+    CPPUNIT_TEST(newer_warmup_limits_replace_older_ones);
+    CPPUNIT_TEST(a_view_keeps_terms_and_limits);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against limits of an older configuration, which a peer may send
+    // after a newer one.
+    void newer_warmup_limits_replace_older_ones() {
+        const service_id a(1);
+        const service_id b(2);
+        directory it;
+        CPPUNIT_ASSERT(!it.knows_warmup_limits());
+        CPPUNIT_ASSERT(it.adopt_warmup_limits(5, {{a, seconds(9), 10}}));
+        CPPUNIT_ASSERT(!it.adopt_warmup_limits(4, {{a, seconds(9), 90}}));
+        // A peer that knows the last valid limit of another service.
+        CPPUNIT_ASSERT(it.adopt_warmup_limits(5, {{b, seconds(9), 20}}));
+        CPPUNIT_ASSERT_EQUAL(10.0, it.warmup_limit_of(a)->openings_per_second);
+        CPPUNIT_ASSERT_EQUAL(20.0, it.warmup_limit_of(b)->openings_per_second);
+        CPPUNIT_ASSERT(!it.adopt_warmup_limits(5, {}));
+        CPPUNIT_ASSERT(it.adopt_warmup_limits(6, {{b, seconds(9), 20}}));
+        CPPUNIT_ASSERT(it.warmup_limit_of(a) == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, it.warmup_limits_version());
+    }
+
+    // Guards against limits and terms that vanish because a peer's copy does
+    // not carry them, or stay unknown because the peer's copy came first.
+    void a_view_keeps_terms_and_limits() {
+        const service_id service(1);
+        routing_document full{.version = 2,
+                              .routes = {{address,
+                                          {{service, 1}},
+                                          {.target_latency = seconds(1),
+                                           .timeout = seconds(2),
+                                           .priority = 3}}},
+                              .warmup_limits = {{service, seconds(9), 10}}};
+        routing_document bare = full;
+        bare.routes[0].terms = {};
+        bare.warmup_limits.clear();
+        directory it;
+        it.adopt_view(
+            {.as_of = revision(20), .routing_at = revision(8), .routing = bare},
+            start);
+        CPPUNIT_ASSERT(!it.knows_warmup_limits());
+        it.adopt_listing(revision(21), {{revision(8), full}}, start);
+        CPPUNIT_ASSERT(it.find_route(address)->terms == full.routes[0].terms);
+        CPPUNIT_ASSERT(it.warmup_limit_of(service) != nullptr);
+        bare.version = 3;
+        it.adopt_view({.as_of = revision(30),
+                       .routing_at = revision(29),
+                       .routing = bare},
+                      start);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, it.version());
+        CPPUNIT_ASSERT(it.find_route(address)->terms == full.routes[0].terms);
+        CPPUNIT_ASSERT(it.warmup_limit_of(service) != nullptr);
+    }
+
     void an_older_listing_changes_nothing() {
         directory it = make_directory();
         CPPUNIT_ASSERT(!it.adopt_listing(revision(9), {}, start));
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -61,6 +61,9 @@
             [&](const barrier_reply& one) {
                 barrier_.on_reply(from, one, directory_);
             },
+            [&](const operator_intent& one) {
+                directory_.adopt_warmup_limits(one.version, one.warmup_limits);
+            },
             [&](const directory_part& one) {
                 const auto view = entries_.on_part(from, one);
                 if (view && directory_.adopt_view(*view, now))
@@ -149,6 +152,8 @@
             .reason = to_string(returned.reason),
             .flow = packet->flow,
             .machine = from});
+    if (packet->is_opening() && returned.reason == return_reason::host_refused)
+        peers_.on_returned(from);
     if (directory_.find_route(packet->flow.service) == nullptr) {
         on_unrouted(*packet, false, now);
         return;
@@ -223,24 +228,6 @@
                 now - *entries_heard_at_ >= options_.departed_report_time};
 }
 
-void entry_relay::send_hellos(time_point now) {
-    for (const machine_address machine :
-         peers_.take_due_hellos(directory_, now)) {
-        hello it{.run = options_.run,
-                 .data_centre = options_.data_centre,
-                 .idle_timeout = directory_.idle_timeout(),
-                 .wants_flows = !peers_.find(machine)->sent_flows};
-        const directory::host* host = directory_.newest_at(machine.value());
-        if (host != nullptr)
-            it.host_started = host->record.started;
-        if (!directory_.is_store_lost())
-            it.registered = host == nullptr         ? registration::absent
-                            : host->record.draining ? registration::draining
-                                                    : registration::ready;
-        hooks_.send(machine, it);
-    }
-}
-
 // Sends unanswered opening packets to further hosts.
 void entry_relay::hedge_openings(time_point now) {
     std::vector<flow_key> ended;
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -17,16 +17,6 @@
 // Reports of an earlier run of a process arrive late by at most this time.
 constexpr duration earlier_run_timeout = std::chrono::seconds(1);
 
-// Whether a host of another service has registered at the address since, and
-// the process there cannot be told apart by its tag.
-bool is_taken_over(const directory& known, const directory::host& host) {
-    const directory::host* newest =
-        known.newest_at(host.record.address.address);
-    return newest != nullptr && newest->record.service != host.record.service &&
-           make_service_tag(newest->record.service) ==
-               make_service_tag(host.record.service);
-}
-
 } // namespace
 
 // The hosts of one service, as far as the selection of followed ones needs
@@ -62,6 +52,10 @@
         if (std::exchange(one.draining, it.record.draining) !=
             it.record.draining)
             one.hello_at = {};
+        // Its process limits the opening packets of a cold host.
+        if (std::exchange(one.registered_as, key) != key &&
+            options_.limits_cold_hosts && it.record.warmup_left > duration())
+            one.hello_at = {};
     }
     // A host serves its flows after its registration vanished, so its process
     // is followed until it no longer answers.
@@ -82,6 +76,8 @@
     it.has_reported = false;
     it.sent_flows = false;
     it.placed_since = 0;
+    it.openings_since = 0;
+    it.returned_since = false;
     it.unanswered = 0;
 }
 
@@ -192,6 +188,23 @@
     return due;
 }
 
+hello_kinds host_peers::next_hello(machine_address machine, time_point now) {
+    const auto it = peers_.find(machine);
+    if (it == peers_.end())
+        return {};
+    peer& known = it->second;
+    const bool is_silent =
+        !known.has_reported ||
+        now - known.heard_at > interval(known) + options_.answer_delay;
+    return known.hellos.next(is_silent);
+}
+
+void host_peers::hasten_hellos(data_centre_id data_centre) {
+    for (auto& [machine, it] : peers_)
+        if (it.data_centre == data_centre)
+            it.hello_at = {};
+}
+
 void host_peers::on_report(machine_address from, const load_report& report,
                            time_point now) {
     const auto it = peers_.find(from);
@@ -211,6 +224,9 @@
     known.report = report;
     known.service = report.service;
     known.placed_since = 0;
+    known.openings_since = 0;
+    known.returned_since = false;
+    known.hellos.on_report(report.run, report.work.has_value());
     if (now - known.unanswered_at > options_.unanswered_retention)
         known.unanswered = 0;
 }
@@ -228,8 +244,16 @@
 }
 
 void host_peers::on_placed(machine_address machine) {
+    const auto it = peers_.find(machine);
+    if (it == peers_.end())
+        return;
+    ++it->second.placed_since;
+    ++it->second.openings_since;
+}
+
+void host_peers::on_returned(machine_address machine) {
     if (const auto it = peers_.find(machine); it != peers_.end())
-        ++it->second.placed_since;
+        it->second.returned_since = true;
 }
 
 void host_peers::on_answered(machine_address machine) {
@@ -347,53 +371,4 @@
     return out;
 }
 
-std::vector<candidate> host_peers::candidates(const directory& known,
-                                              service_id service,
-                                              time_point now) const {
-    std::vector<candidate> out;
-    std::vector<candidate> others;
-    for (const auto& [key, host] : known.hosts()) {
-        if (host.record.service != service || host.record.draining)
-            continue;
-        const auto it = make_candidate(host, now);
-        if (!it || is_taken_over(known, host))
-            continue;
-        const peer* known_peer = find(it->machine);
-        const bool followed = known_peer == nullptr || known_peer->followed;
-        (followed ? out : others).push_back(*it);
-    }
-    if (std::ranges::none_of(out, &candidate::reachable))
-        out.insert(out.end(), others.begin(), others.end());
-    return out;
-}
-
-// Returns nothing if the address is already used by another service.
-std::optional<candidate> host_peers::make_candidate(const directory::host& host,
-                                                    time_point now) const {
-    const host_record& record = host.record;
-    const machine_address machine(record.address.address);
-    const peer* known = find(machine);
-    if (known != nullptr && known->has_reported &&
-        known->report.service != make_service_tag(record.service))
-        return std::nullopt;
-    candidate out{.machine = machine,
-                  .local = record.data_centre == options_.data_centre,
-                  .slots = record.slots,
-                  .warming_up = now - host.seen_at < record.warmup_left};
-    const bool has_reported = known != nullptr && known->has_reported;
-    if (known != nullptr) {
-        out.reachable = !known->followed || is_reachable(*known, now);
-        out.placed_since = known->placed_since;
-        out.unanswered = known->unanswered;
-    }
-    if (has_reported) {
-        out.busy = known->report.busy_milli / 1000.0;
-        out.outstanding = known->report.outstanding;
-        out.flows = known->report.flows;
-    }
-    if (host.lapsed)
-        out.reachable = out.reachable && has_reported;
-    return out;
-}
-
 } // namespace arbutusport::relay
--- a/packages/core/src/relay/placement.cpp
+++ b/packages/core/src/relay/placement.cpp
@@ -48,6 +48,7 @@
                                     const placement_options& options) {
     if (std::ranges::any_of(hosts, &candidate::reachable))
         std::erase_if(hosts, [](const auto& it) { return !it.reachable; });
+    std::erase_if(hosts, [](const auto& it) { return it.opening_room == 0; });
     const auto key = [&](const candidate& it) {
         return std::pair(!it.local, placement_rank(flow_hash, it.machine));
     };
@@ -71,7 +72,8 @@
     };
     std::optional<host_choice> best;
     for (const candidate& it : hosts) {
-        if (std::ranges::find(tried, it.machine) != tried.end())
+        if (it.opening_room == 0 ||
+            std::ranges::find(tried, it.machine) != tried.end())
             continue;
         const host_choice choice{it.machine, it.reachable,
                                  expected_load(it, flow_load, options)};
--- a/packages/core/src/relay/placement_test.cpp
+++ b/packages/core/src/relay/placement_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(a_host_with_unanswered_openings_is_avoided);
     CPPUNIT_TEST(unreachable_hosts_are_the_last_resort);
     CPPUNIT_TEST(tried_hosts_are_left_out);
+    CPPUNIT_TEST(hosts_without_room_are_left_out);
     CPPUNIT_TEST(ranked_hosts_are_limited_and_deterministic);
     CPPUNIT_TEST(an_added_host_changes_few_ranked_hosts);
     CPPUNIT_TEST(flows_are_divided_by_weight);
@@ -125,6 +126,22 @@
         CPPUNIT_ASSERT(!choose_host(hosts, both, 0));
     }
 
+    // Guards against refusals while hosts of lower rank have room, and against
+    // more flows than a cold host bears.
+    void hosts_without_room_are_left_out() {
+        std::vector<candidate> hosts;
+        for (std::uint32_t i = 1; i <= 20; ++i) {
+            hosts.push_back(local(i));
+            hosts.back().opening_room = i == 20 ? 1 : 0;
+        }
+        const auto ranked = ranked_hosts(hosts, 7);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ranked.size());
+        CPPUNIT_ASSERT_EQUAL(20U, chosen(hosts));
+        hosts.back().opening_room = 0;
+        CPPUNIT_ASSERT(!choose_host(hosts, {}, 0));
+        CPPUNIT_ASSERT(ranked_hosts(hosts, 7).empty());
+    }
+
     void ranked_hosts_are_limited_and_deterministic() {
         std::vector<candidate> hosts;
         for (std::uint32_t i = 1; i <= 20; ++i)
