--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -31,6 +31,12 @@
     service_id other_service = service_id_of("acervo");
     /// Send limit for the searches of each entry.
     double search_bytes_per_second = 31e6;
+    /// Hosts that boot are cold for this long, and bear so many opening packets
+    /// a second, as the configuration states; 0: no limit.
+    duration warmup{};
+    double warmup_rate = 0;
+    /// If empty, the processes do not limit cold hosts.
+    std::optional<relay::warmup_bounds> warmup_bounds;
 };
 
 /// @brief Extra delay by index of the packet or message, or empty to drop it.
@@ -86,6 +92,9 @@
     /// @brief From now on the entry behaves as one of a build that knows no
     /// eras of the store.
     void disregard_eras(std::size_t entry);
+    /// @brief Restarts the entry as one of a build that knows neither
+    /// evacuations nor limits of cold hosts.
+    void restart_as_previous_build(std::size_t entry);
     void kill_entry(std::size_t entry);
     void start_entry(std::size_t entry);
     /// @brief Drops all traffic between the entry and entries or hosts; clients
@@ -145,6 +154,9 @@
     std::uint64_t bytes_sent_by_entries() const { return entry_bytes_; }
     std::uint64_t resets() const { return resets_; }
     std::uint64_t flows_placed_at(std::size_t host) const;
+    /// @brief When the host received the first opening packet of each of its
+    /// flows, in ascending order.
+    const std::vector<duration>& openings_at(std::size_t host) const;
     /// @brief Store calls so far that succeeded, and that were rejected.
     std::uint64_t store_answers() const { return store_answers_; }
     std::uint64_t store_refusals() const { return store_refusals_; }
@@ -179,6 +191,7 @@
     /// @brief Delay of the next packet or message; empty if it is dropped.
     std::optional<duration> next_transfer_delay();
     bool is_isolated(relay::machine_address machine) const;
+    bool is_previous_build(relay::machine_address machine) const;
     time_point time() const { return time_point(now_); }
     void tick();
     void publish_registration(std::size_t host);
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -10,6 +10,9 @@
     : options_(options), random_(options.seed * 2 + 1) {
     routing_.version = 1;
     routing_.routes.push_back({service_address, {{main_service, 1}}});
+    if (options.warmup_rate > 0)
+        routing_.warmup_limits.push_back(
+            {main_service, options.warmup, options.warmup_rate});
     store_.put(routing_);
     for (std::size_t i = 0; i < options.hosts; ++i) {
         hosts_.push_back(std::make_unique<host_state>());
@@ -131,6 +134,8 @@
             .self = self,
             .data_centre = data_centre_of(self),
             .seeds = {machine_address(first_entry_address)},
+            .peers = {.limits_cold_hosts =
+                          options_.warmup_bounds && !it.is_previous_build},
             .search = {.budget = {.bytes_per_second =
                                       options_.search_bytes_per_second}}},
         hooks);
@@ -180,9 +185,11 @@
             },
         .report = [](const relay::event&) {}};
     it.process = std::make_unique<relay::host_relay>(
-        relay::host_relay_options{.run = incarnation(++it.process_run),
-                                  .service = it.service,
-                                  .started = wall_clock(now_)},
+        relay::host_relay_options{
+            .run = incarnation(++it.process_run),
+            .service = it.service,
+            .started = wall_clock(now_),
+            .opening = {.warmup = options_.warmup_bounds}},
         hooks, time());
 }
 
@@ -240,6 +247,9 @@
 
 void relay_world::send_message(machine_address from, machine_address to,
                                const relay::message& message) {
+    if (concerns_limits(message) &&
+        (is_previous_build(from) || is_previous_build(to)))
+        return;
     count_message(from, to, message);
     const auto delay = next_transfer_delay();
     if (!delay || is_isolated(from) || is_isolated(to) ||
@@ -272,8 +282,10 @@
             violations_.push_back("opened at another service: " +
                                   to_string(fields.flow));
         const bool is_new = known == it.flows.end();
-        if (is_new)
+        if (is_new) {
             ++it.placed;
+            it.opened_at.push_back(now_);
+        }
         const auto start =
             is_new ? static_cast<std::uint32_t>(hash_combine(
                          hash_of(fields.flow), host * 1000 + it.boot))
--- a/packages/testing/src/emulator/relay_world_faults.cpp
+++ b/packages/testing/src/emulator/relay_world_faults.cpp
@@ -89,6 +89,10 @@
             .data_centre = data_centre_of(machine_address(it.address.address)),
             .draining = it.draining,
             .slots = 2,
+            .warmup_left = it.boot == 1
+                               ? duration{}
+                               : std::max(it.booted_at + options_.warmup - now_,
+                                          duration{}),
             .started = wall_clock(it.booted_at)};
 }
 
@@ -147,6 +151,17 @@
     entries_[entry]->disregards_eras = true;
 }
 
+void relay_world::restart_as_previous_build(std::size_t entry) {
+    kill_entry(entry);
+    entries_[entry]->is_previous_build = true;
+    start_entry(entry);
+}
+
+bool relay_world::is_previous_build(machine_address machine) const {
+    const std::size_t entry = machine.value() - first_entry_address;
+    return entry < entries_.size() && entries_[entry]->is_previous_build;
+}
+
 relay::directory_change
 relay_world::change_for(std::size_t entry, relay::directory_change it) const {
     if (entries_[entry]->disregards_eras)
@@ -218,6 +233,10 @@
     return hosts_[host]->placed;
 }
 
+const std::vector<duration>& relay_world::openings_at(std::size_t host) const {
+    return hosts_[host]->opened_at;
+}
+
 message_count relay_world::traffic_of_entry(std::size_t entry) const {
     return entries_[entry]->traffic;
 }
--- a/packages/testing/src/emulator/relay_world_state.hpp
+++ b/packages/testing/src/emulator/relay_world_state.hpp
@@ -39,6 +39,15 @@
     return it;
 }
 
+// Whether only builds that know limits of cold hosts exchange the message.
+inline bool concerns_limits(const relay::message& it) {
+    if (const auto* hello = std::get_if<relay::hello>(&it))
+        return hello->wants_work;
+    if (const auto* report = std::get_if<relay::load_report>(&it))
+        return report->work.has_value();
+    return std::holds_alternative<relay::operator_intent>(it);
+}
+
 // All machines share one clock. It starts far from 0, since a time of 0 means
 // unknown.
 inline unix_milliseconds wall_clock(duration now) {
@@ -87,6 +96,7 @@
     bool silent = false;
     duration booted_at{};
     std::uint64_t placed = 0;
+    std::vector<duration> opened_at;
     // First sequence number by flow.
     std::map<flow_key, std::uint32_t> flows;
     endpoint address;
@@ -99,6 +109,7 @@
     bool is_reader = true;
     bool isolated = false;
     bool disregards_eras = false;
+    bool is_previous_build = false;
     duration change_delay{};
     machine_address machine;
     message_count traffic;
