--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -6,6 +6,7 @@
 #include <arbutusport/relay/events.hpp>
 #include <arbutusport/relay/load_meter.hpp>
 #include <arbutusport/relay/messages.hpp>
+#include <arbutusport/relay/opening_gate.hpp>
 #include <arbutusport/relay/segment.hpp>
 #include <arbutusport/relay/work_meter.hpp>
 
@@ -52,6 +53,7 @@
     duration entry_timeout = std::chrono::seconds(5);
     std::size_t max_flows = 200'000;
     std::size_t max_pending_deliveries = 8192;
+    opening_gate_options opening;
 };
 
 struct host_relay_hooks {
@@ -93,6 +95,7 @@
     std::size_t flows() const { return flows_.size(); }
     /// @brief What the host's requests cost and what it still has to do.
     const work_meter& work() const { return work_; }
+    const opening_gate& gate() const { return gate_; }
     /// @brief The data centre of an entry; 0 if unknown.
     data_centre_id data_centre_of(machine_address entry) const;
 
@@ -134,13 +137,15 @@
         machine_address last_listed;
         // 0 until known.
         duration idle_timeout{};
-        // It understands load_report::work.
+        incarnation run;
+        // This run of the entry understands load_report::work.
         bool wants_work = false;
     };
 
     bool is_for_own_service(const routing_mark& mark) const;
     void on_opening(machine_address from, const segment& packet,
                     time_point now);
+    bool is_copy_of_admitted(const segment& opening) const;
     void on_unknown_flow(machine_address from, const segment& packet,
                          time_point now);
     void update_from_client(machine_address from, flow_state& flow,
@@ -149,7 +154,7 @@
     void reject_packet(machine_address to, const segment& packet,
                        return_reason reason);
     void return_packet(machine_address to, const segment& packet,
-                       return_reason reason);
+                       return_reason reason, const char* logged_reason);
     flow_state& find_or_add_flow(const segment& packet, time_point now);
     void erase(const flow_key& flow, time_point now);
     void announce(const flow_key& flow, const flow_state& it, time_point now,
@@ -168,9 +173,10 @@
                              time_point now);
     void measure_host_data(flow_state& flow, const segment& packet,
                            time_point now);
-    host_work make_work(time_point now) const;
     bool knows_all_flows(time_point now) const;
-    load_report make_report(time_point now);
+    load_report make_report(time_point now, const entry& recipient);
+    host_work make_work(time_point now) const;
+    std::uint16_t opening_room_share(time_point now) const;
     void send_report_to_all(time_point now);
     std::vector<machine_address> next_listed_entries(entry& recipient,
                                                      time_point now);
@@ -187,6 +193,7 @@
     duration idle_timeout_;
     load_meter load_;
     work_meter work_;
+    opening_gate gate_;
     host_state state_ = host_state::alive;
     bool is_stopping_ = false;
     // The last registration that entries reported, and when it arrived.
--- a/packages/core/src/relay/host_work.cpp
+++ b/packages/core/src/relay/host_work.cpp
@@ -59,7 +59,8 @@
             .service_us = to_us(work_.mean_service()),
             .service_high_us = to_us(work_.high_service()),
             .requests_milli_per_second =
-                saturate(1000 * work_.request_rate(now))};
+                saturate(1000 * work_.request_rate(now)),
+            .opening_room = opening_room_share(now)};
 }
 
 } // namespace arbutusport::relay
--- a/packages/core/src/relay/placement.cpp
+++ b/packages/core/src/relay/placement.cpp
@@ -19,6 +19,7 @@
                                     const placement_options& options) {
     if (std::ranges::any_of(hosts, &candidate::reachable))
         std::erase_if(hosts, [](const auto& it) { return !it.reachable; });
+    std::erase_if(hosts, [](const auto& it) { return it.opening_room == 0; });
     // Ranks and indices of the local hosts, then of the remote ones.
     std::vector<std::pair<std::uint64_t, std::size_t>> ranks[2];
     for (std::size_t i = 0; i < hosts.size(); ++i)
@@ -47,7 +48,8 @@
     };
     std::optional<host_choice> best;
     for (const candidate& it : hosts) {
-        if (std::ranges::find(tried, it.machine) != tried.end())
+        if (it.opening_room == 0 ||
+            std::ranges::find(tried, it.machine) != tried.end())
             continue;
         const completion_estimate expected = estimator.estimate(it);
         const host_choice choice{it.machine, it.reachable, expected.load,
