Table of evacuated data centres, ordered by position

An evacuation must not be undone by an older listing, watch answer or peer, nor by a restore of the store. The table keeps the position of each data centre's last change and the position up to which it is complete, in the present era and the one before.

A view of a later era does not end requests of an earlier one, since the restored store may have lost them. operator_intent therefore names the requests that ended in a later era than the first (the new field 'ended'), so that followers converge with the entry that read the removal.

At most 32 data centres without hosts are kept; those with hosts are kept in any number.

Also mends messages.cpp, which did not compile: an explicit constructor was used from an initialiser list.

--- a/packages/core/include/arbutusport/relay/evacuation_table.hpp
+++ b/packages/core/include/arbutusport/relay/evacuation_table.hpp
@@ -6,6 +6,7 @@
 #include <arbutusport/relay/directory.hpp>
 #include <arbutusport/relay/messages.hpp>
 
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -18,6 +19,16 @@
 /// until the operator writes the item again or removes it.
 class evacuation_table {
 public:
+    /// States of data centres without hosts that are kept. Another writer may
+    /// add names without end; a message with this many fits an Ethernet frame.
+    static constexpr std::size_t max_without_hosts = 32;
+
+    evacuation_table() = default;
+    /// @brief `has_hosts` tells which data centres have hosts. Their requests
+    /// are kept in any number.
+    explicit evacuation_table(std::function<bool(data_centre_id)> has_hosts)
+        : has_hosts_(std::move(has_hosts)) {}
+
     /// @brief Adopts a complete listing as of a position; `listed` are the
     /// requests in it. Returns whether the set of evacuated data centres has
     /// changed.
@@ -45,6 +56,14 @@
     revision changed_at(data_centre_id it) const;
     /// @brief Evacuated data centres.
     std::vector<evacuation> list() const;
+    /// @brief Ended requests that a peer's table must name: those ended in a
+    /// later era than the first, where absence alone does not end a request.
+    std::vector<evacuation> list_ended() const;
+    /// @brief True if no request is or was known.
+    bool is_empty() const { return states_.empty(); }
+    /// @brief Whether requests have been refused for lack of room since the
+    /// last listing. A listing brings those whose data centre has hosts now.
+    bool has_refused() const { return has_refused_; }
 
 private:
     struct state {
@@ -52,12 +71,23 @@
         bool evacuated = false;
     };
 
-    void set(data_centre_id data_centre, state it);
+    bool adopt(revision as_of, const std::vector<evacuation>& listed,
+               const std::vector<evacuation>& ended);
+    bool set(data_centre_id data_centre, state it);
+    bool make_room(data_centre_id data_centre);
+    revision known_until(store_era era) const;
+    void note_complete(revision as_of);
 
+    std::function<bool(data_centre_id)> has_hosts_ = [](data_centre_id) {
+        return false;
+    };
     revision complete_until_;
-    // One state for each data centre that was ever evacuated. Bounded, since
-    // another writer may add names without end.
+    // The position up to which the era before the present one is known.
+    revision previous_until_;
+    // One state for each data centre that was ever evacuated. At most
+    // `max_without_hosts` of them have no hosts when they are added.
     std::map<data_centre_id, state> states_;
+    bool has_refused_ = false;
 };
 
 } // namespace arbutusport::relay
--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -245,6 +245,9 @@
     /// Of the configuration that `warmup_limits` are from.
     std::uint64_t version = 0;
     std::vector<evacuation> evacuations;
+    /// Requests that ended in a later era than the first, and where. A table
+    /// that lacks them does not end requests of earlier eras.
+    std::vector<evacuation> ended;
     std::vector<warmup_limit> warmup_limits;
 };
 
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -93,7 +93,24 @@
 
 revision take_revision(byte_reader& in) {
     const store_era era(in.take<std::uint64_t>());
-    return {in.take<std::uint64_t>(), era};
+    return revision(in.take<std::uint64_t>(), era);
+}
+
+void put(byte_writer& out, const std::vector<evacuation>& list) {
+    put_count(out, list.size());
+    for (const evacuation& it : list) {
+        out.put(it.data_centre.value());
+        put(out, it.at);
+    }
+}
+
+std::vector<evacuation> take_evacuations(byte_reader& in) {
+    std::vector<evacuation> out;
+    for (auto n = in.take_count(evacuation_bytes); n > 0; --n) {
+        const data_centre_id data_centre(in.take<std::uint64_t>());
+        out.push_back({data_centre, take_revision(in)});
+    }
+    return out;
 }
 
 void put_duration(byte_writer& out, duration it) {
@@ -309,11 +326,8 @@
     put_type(out, type::operator_intent);
     put(out, it.as_of);
     out.put(it.version);
-    put_count(out, it.evacuations.size());
-    for (const evacuation& one : it.evacuations) {
-        out.put(one.data_centre.value());
-        put(out, one.at);
-    }
+    put(out, it.evacuations);
+    put(out, it.ended);
     put_count(out, it.warmup_limits.size());
     for (const warmup_limit& one : it.warmup_limits) {
         out.put(one.service.value());
@@ -449,10 +463,8 @@
     operator_intent it;
     it.as_of = take_revision(in);
     it.version = in.take<std::uint64_t>();
-    for (auto n = in.take_count(evacuation_bytes); n > 0; --n) {
-        const data_centre_id data_centre(in.take<std::uint64_t>());
-        it.evacuations.push_back({data_centre, take_revision(in)});
-    }
+    it.evacuations = take_evacuations(in);
+    it.ended = take_evacuations(in);
     for (auto n = in.take_count(warmup_limit_bytes); n > 0; --n) {
         warmup_limit one{.service = service_id(in.take<std::uint64_t>())};
         one.warmup = take_duration(in);
--- a/packages/core/src/relay/messages_test.cpp
+++ b/packages/core/src/relay/messages_test.cpp
@@ -106,6 +106,7 @@
             .as_of = revision(37),
             .version = 38,
             .evacuations = {{data_centre_id(39), revision(40, later_era)}},
+            .ended = {{data_centre_id(42), revision(43, later_era)}},
             .warmup_limits = {{service_id(41), std::chrono::seconds(2), 7.5}}}};
 }
 
