Entries keep to the operator's evacuations

Nothing kept new flows away from the hosts of an evacuated data centre.

Each entry feeds an evacuation_table from listings, watch answers, reads on demand and peers. The reader sends operator_intent to its data centre when the table changes and in the next two rounds of hellos, then with each round; entries of other data centres get it too once there is something to tell, since the entries of a whole data centre may be rejected by the store. Hosts of evacuated data centres are no candidates for a new flow, a hedge or a returned opening; a copy of an opening that its host has accepted still goes there. What no permitted host can take is refused at once, with the reason evacuated. An entry that starts and expects evacuations places nothing and is not ready before it knows the table, for 3 s at most.

A new reader continues the watch from the older of the positions of its directory and of its table; it lists the store only if the table is unknown or of another era. A deployment that expects no evacuations sends nothing more than before until the first request.

The simulated world evacuates and takes back data centres, drops messages by type and counts events; entries of an earlier build neither read nor send requests there.

--- a/packages/core/include/arbutusport/relay/directory.hpp
+++ b/packages/core/include/arbutusport/relay/directory.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -103,6 +104,8 @@
 /// data centre.
 struct evacuation_set {
     data_centre_id data_centre;
+    /// As the operator wrote it, for the log.
+    std::string name = {};
 };
 
 struct evacuation_removed {
--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -7,6 +7,7 @@
 
 #include <arbutusport/base/lru_map.hpp>
 #include <arbutusport/relay/directory.hpp>
+#include <arbutusport/relay/evacuation_table.hpp>
 #include <arbutusport/relay/events.hpp>
 #include <arbutusport/relay/host_changes.hpp>
 #include <arbutusport/relay/host_peers.hpp>
@@ -18,6 +19,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -66,6 +68,15 @@
     /// even if it is slow.
     std::size_t max_undecided = 1024;
     duration undecided_timeout = std::chrono::milliseconds(800);
+    /// The operator may evacuate data centres, so this process needs to know
+    /// for which this was requested before it places a flow, and passes it on.
+    /// Without it, messages about evacuations are sent after the first one
+    /// only.
+    bool expects_evacuations = false;
+    /// After this time with a directory it places flows without that
+    /// knowledge: a fleet whose store is down at its first start has no other
+    /// source. Six requests to a peer.
+    duration max_evacuations_wait = std::chrono::seconds(3);
     std::size_t max_hints = 500'000;
     std::size_t max_openings = 8192;
     /// A longer interval between two ticks means that the process was
@@ -144,6 +155,10 @@
     /// @brief Whether the machine is in the own data centre; empty if unknown.
     std::optional<bool> is_near(machine_address machine) const;
     std::size_t hints() const { return hints_.size(); }
+    const evacuation_table& evacuations() const { return evacuations_; }
+    /// @brief Flows at the hosts of the own data centre while it is evacuated,
+    /// as last reported; 0 otherwise.
+    std::uint64_t flows_to_evacuate() const;
 
 private:
     // A flow whose owner is known. Two hosts may have accepted copies of one
@@ -222,9 +237,29 @@
     void report_ignored(const char* what, revision at) const;
     void report_restore();
 
+    bool handles_evacuations() const;
+    bool apply_evacuations(const std::vector<directory_change>& items);
+    void advance_evacuations(revision as_of, time_point now);
+    bool read_again(const char* reason, time_point now);
+    revision reading_position() const;
+    bool needs_listing() const;
+    void on_intent(const operator_intent& it, time_point now);
+    void send_intent(std::span<const machine_address> to) const;
+    void repeat_intent();
+    void on_evacuations_changed(const char* reason, time_point now);
+    bool has_hosts(data_centre_id it) const;
+    void check_evacuations(time_point now);
+    void check_refused_evacuations(time_point now);
+    bool awaits_evacuations(time_point now) const;
+    void ask_for_evacuations(time_point now);
+    bool is_evacuated(const route& it) const;
+
     entry_relay_options options_;
     entry_relay_hooks hooks_;
     directory directory_;
+    evacuation_table evacuations_;
+    // The requests that were last reported and followed.
+    std::vector<evacuation> in_force_;
     host_peers peers_;
     peer_entries entries_;
     owner_search search_;
@@ -249,6 +284,15 @@
     // The store rejected this process and has not answered since. Other
     // entries keep reading until it does.
     bool awaits_store_answer_ = false;
+    // The position from which the own watch continues.
+    revision watched_until_;
+    // Rounds of hellos in which the table still goes to the whole data centre.
+    int intent_repeats_ = 0;
+    time_point asked_evacuations_at_;
+    std::set<data_centre_id> reported_without_hosts_;
+    // Set while the table lacks refused requests: the data centres that had
+    // hosts at the last listing.
+    std::optional<std::set<data_centre_id>> refused_with_;
 };
 
 } // namespace arbutusport::relay
--- a/packages/core/include/arbutusport/relay/evacuation_table.hpp
+++ b/packages/core/include/arbutusport/relay/evacuation_table.hpp
@@ -90,4 +90,8 @@
     bool has_refused_ = false;
 };
 
+/// @brief The requests among the items of a listing.
+std::vector<evacuation>
+evacuation_requests(const std::vector<directory_change>& items);
+
 } // namespace arbutusport::relay
--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -12,6 +12,7 @@
 #include <arbutusport/relay/placement.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -52,6 +53,10 @@
     std::size_t likely_owners = 8;
     /// After this time an unanswered opening no longer counts.
     duration unanswered_retention = std::chrono::seconds(2);
+    /// Whether no new flow may be placed in the data centre.
+    std::function<bool(data_centre_id)> is_evacuated = [](data_centre_id) {
+        return false;
+    };
 };
 
 class host_peers {
@@ -88,8 +93,8 @@
     void add_departed(const departed_host& it, time_point now);
     /// @brief Selects the hosts of other data centres to follow, by rank for
     /// the own data centre, so that its entries follow the same ones. Hosts
-    /// that do not answer or are draining do not count. Called by
-    /// take_due_hellos().
+    /// that do not answer, are draining or in an evacuated data centre do not
+    /// count. Called by take_due_hellos().
     void select_followed(const directory& known, time_point now);
     /// @brief Processes without a registered host that still answer this
     /// entry.
@@ -126,6 +131,9 @@
     std::vector<owner_search::target>
     possible_owners(std::span<const service_tag> services,
                     std::uint64_t flow_hash, time_point now) const;
+    /// @brief Flows at the hosts of the data centre, as last reported by the
+    /// followed processes.
+    std::uint64_t reported_flows(data_centre_id data_centre) const;
     /// @brief Returns the followed hosts of a service that may receive new
     /// flows; all of its hosts if none of the followed ones is reachable.
     std::vector<candidate> candidates(const directory& known,
--- a/packages/core/include/arbutusport/relay/peer_entries.hpp
+++ b/packages/core/include/arbutusport/relay/peer_entries.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace arbutusport::relay {
@@ -109,6 +110,13 @@
         std::size_t knowing_departed = 0;
     };
     answer_count count_answers() const;
+    /// @brief The other entries of the own data centre.
+    std::vector<machine_address> near_entries() const;
+    /// @brief Returns the entries that received the last round of hellos, once
+    /// for each round.
+    std::vector<machine_address> take_round_receivers() {
+        return std::exchange(round_receivers_, {});
+    }
     /// @brief The data centre of an entry; 0 if unknown.
     data_centre_id data_centre_of(machine_address machine) const;
 
@@ -184,6 +192,7 @@
     std::uint64_t announcements_ = 0;
     bool announced_reading_ = false;
     time_point last_round_at_;
+    std::vector<machine_address> round_receivers_;
     // The first tick, and the last repeated hello to entries that have not
     // answered.
     std::optional<time_point> started_at_;
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -17,8 +17,6 @@
 // one has not changed for this long. Processes normally read the same change
 // within some milliseconds of each other.
 constexpr duration stuck_limit = std::chrono::milliseconds(700);
-// Minimum time between two repeated listings, because the store limits calls.
-constexpr duration reread_interval = std::chrono::seconds(2);
 
 } // namespace
 
@@ -45,6 +43,7 @@
                 entries_.on_hello(from, one, local_status(now), now);
             },
             [&](const directory_request&) {
+                send_intent(std::span(&from, 1));
                 entries_.on_request(from, directory_);
             },
             [&](const directory_delta& one) {
@@ -61,6 +60,7 @@
             [&](const barrier_reply& one) {
                 barrier_.on_reply(from, one, directory_);
             },
+            [&](const operator_intent& one) { on_intent(one, now); },
             [&](const directory_part& one) {
                 const auto view = entries_.on_part(from, one);
                 if (view && directory_.adopt_view(*view, now))
@@ -199,11 +199,10 @@
     entries_.on_tick(local_status(now), now);
     if (reading_)
         entries_.push(directory_, now);
-    if (reading_ && entries_.is_stuck(directory_, stuck_limit, now) &&
-        now - last_reread_at_ > reread_interval) {
-        last_reread_at_ = now;
-        hooks_.restart_reading("behind_peers");
-    }
+    repeat_intent();
+    ask_for_evacuations(now);
+    if (reading_ && entries_.is_stuck(directory_, stuck_limit, now))
+        read_again("behind_peers", now);
     hedge_openings(now);
     decide_waiting(now);
     search_.on_tick(now);
@@ -270,10 +269,14 @@
                              time_point now) {
     directory_.on_store_regained(now);
     awaits_store_answer_ = false;
+    const auto listed = evacuation_requests(items);
     if (directory_.adopt_listing(as_of, std::move(items), now))
         on_directory_changed("listing", now);
     else
         report_ignored("listing", as_of);
+    watched_until_ = as_of;
+    if (evacuations_.adopt_listing(as_of, listed))
+        on_evacuations_changed("listing", now);
 }
 
 void entry_relay::on_changes(revision as_of,
@@ -282,6 +285,10 @@
     directory_.on_store_regained(now);
     awaits_store_answer_ = false;
     apply_changes(as_of, items, now);
+    const bool changed = apply_evacuations(items);
+    advance_evacuations(as_of, now);
+    if (changed)
+        on_evacuations_changed("change", now);
 }
 
 // Changes that a read barrier has brought already arrive again with the watch.
@@ -309,10 +316,17 @@
         directory_.on_store_regained(now);
         awaits_store_answer_ = false;
     }
-    if (!it.is_listing)
+    if (!it.is_listing) {
         apply_changes(it.as_of, it.items, now);
-    else if (directory_.adopt_listing(it.as_of, std::move(it.items), now))
-        on_directory_changed("listing", now);
+        if (apply_evacuations(it.items))
+            on_evacuations_changed("change", now);
+    } else {
+        const auto listed = evacuation_requests(it.items);
+        if (directory_.adopt_listing(it.as_of, std::move(it.items), now))
+            on_directory_changed("listing", now);
+        if (evacuations_.adopt_listing(it.as_of, listed))
+            on_evacuations_changed("listing", now);
+    }
     barrier_.on_read(id, directory_);
     flush(now);
 }
@@ -352,7 +366,12 @@
             .name = reads ? "reads_store" : "follows_reader"});
     if (!reads)
         directory_.on_store_regained(now);
-    hooks_.set_reading_enabled(reads, directory_.as_of());
+    const revision after = reading_position();
+    if (reads)
+        watched_until_ = std::max(watched_until_, after);
+    hooks_.set_reading_enabled(reads, after);
+    if (reads && needs_listing())
+        hooks_.restart_reading("evacuations_unknown");
 }
 
 void entry_relay::on_directory_changed(const char* reason, time_point now) {
@@ -370,6 +389,7 @@
                         {"hosts", static_cast<std::int64_t>(
                                       directory_.hosts().size())}}}});
     host_changes_.update(directory_, hooks_.report);
+    check_evacuations(now);
     send_hellos(now);
 }
 
@@ -388,7 +408,8 @@
 
 bool entry_relay::is_ready(time_point now) const {
     // Routers must not send traffic to a machine that reaches no host.
-    return directory_at_ && !peers_.is_isolated(now) &&
+    return directory_at_ && !awaits_evacuations(now) &&
+           !peers_.is_isolated(now) &&
            (peers_.has_initial_reports(now) ||
             now - *directory_at_ > initial_flows_timeout);
 }
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -9,9 +9,13 @@
 
 namespace {
 
-host_peer_options make_peer_options(const entry_relay_options& options) {
+host_peer_options make_peer_options(const entry_relay_options& options,
+                                    const evacuation_table& evacuations) {
     host_peer_options out = options.peers;
     out.data_centre = options.data_centre;
+    out.is_evacuated = [&evacuations](data_centre_id it) {
+        return evacuations.is_evacuated(it);
+    };
     return out;
 }
 
@@ -19,7 +23,9 @@
 
 entry_relay::entry_relay(entry_relay_options options, entry_relay_hooks hooks)
     : options_(std::move(options)), hooks_(std::move(hooks)),
-      directory_(options_.directory), peers_(make_peer_options(options_)),
+      directory_(options_.directory),
+      evacuations_([this](data_centre_id it) { return has_hosts(it); }),
+      peers_(make_peer_options(options_, evacuations_)),
       entries_(
           {.run = options_.run,
            .self = options_.self,
@@ -184,6 +190,12 @@
                        packet.datagram);
         return;
     }
+    if (awaits_evacuations(now)) {
+        report({.name = "dropped",
+                .reason = "evacuations_unknown",
+                .flow = packet.flow});
+        return;
+    }
     hints_.erase(packet.flow);
     search_.forget(packet.flow);
     const auto found = openings_.find(packet.flow);
@@ -280,7 +292,8 @@
     if (!best) {
         report({.severity = event::level::warning,
                 .name = "refused",
-                .reason = "service_without_host",
+                .reason = is_evacuated(*flow_route) ? "evacuated"
+                                                    : "service_without_host",
                 .flow = flow,
                 .inputs = {version_input()}});
         return std::nullopt;
--- a/packages/core/src/relay/evacuation_table.cpp
+++ b/packages/core/src/relay/evacuation_table.cpp
@@ -155,4 +155,13 @@
     return out;
 }
 
+std::vector<evacuation>
+evacuation_requests(const std::vector<directory_change>& items) {
+    std::vector<evacuation> out;
+    for (const directory_change& it : items)
+        if (const auto* request = std::get_if<evacuation_set>(&it.what))
+            out.push_back({request->data_centre, it.at});
+    return out;
+}
+
 } // namespace arbutusport::relay
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -39,6 +39,7 @@
     // Hosts of other data centres that are not draining, by their rank.
     std::map<std::uint64_t, machine_address> remote;
     std::set<machine_address> unusable;
+    std::set<machine_address> evacuated;
     std::set<data_centre_id> data_centres;
 };
 
@@ -99,11 +100,16 @@
         here.data_centres.insert(it.record.data_centre);
         if (it.record.draining)
             continue;
+        const bool evacuated = options_.is_evacuated(it.record.data_centre);
+        if (evacuated && it.record.data_centre == options_.data_centre)
+            continue;
         const bool usable = !one.followed || is_reachable(one, now);
         if (it.record.data_centre != options_.data_centre) {
             here.remote.emplace(
                 placement_rank(options_.data_centre.value(), machine), machine);
-            if (!usable)
+            if (evacuated)
+                here.evacuated.insert(machine);
+            else if (!usable)
                 here.unusable.insert(machine);
         } else if (usable) {
             ++here.usable_near;
@@ -123,14 +129,24 @@
                    now);
 }
 
-// Hosts that do not answer stay followed, so that their return is noticed.
+// Hosts that do not answer stay followed, so that their return is noticed. So
+// do a few in evacuated data centres, whose load must be known when these are
+// taken back; all of them would be entries x hosts messages.
 void host_peers::choose_remote(
     const service_hosts& here,
     std::unordered_set<machine_address>& chosen) const {
     auto left = remote_count(here);
+    auto evacuated_left = options_.remote_hosts;
     for (const auto& [rank, machine] : here.remote) {
+        if (here.evacuated.contains(machine)) {
+            if (evacuated_left > 0) {
+                chosen.insert(machine);
+                --evacuated_left;
+            }
+            continue;
+        }
         if (left == 0)
-            return;
+            continue;
         chosen.insert(machine);
         if (!here.unusable.contains(machine))
             --left;
@@ -347,13 +363,22 @@
     return out;
 }
 
+std::uint64_t host_peers::reported_flows(data_centre_id data_centre) const {
+    std::uint64_t out = 0;
+    for (const auto& [machine, it] : peers_)
+        if (it.data_centre == data_centre && it.has_reported)
+            out += it.report.flows;
+    return out;
+}
+
 std::vector<candidate> host_peers::candidates(const directory& known,
                                               service_id service,
                                               time_point now) const {
     std::vector<candidate> out;
     std::vector<candidate> others;
     for (const auto& [key, host] : known.hosts()) {
-        if (host.record.service != service || host.record.draining)
+        if (host.record.service != service || host.record.draining ||
+            options_.is_evacuated(host.record.data_centre))
             continue;
         const auto it = make_candidate(host, now);
         if (!it || is_taken_over(known, host))
--- a/packages/core/src/relay/peer_entries.cpp
+++ b/packages/core/src/relay/peer_entries.cpp
@@ -78,6 +78,14 @@
     return out;
 }
 
+std::vector<machine_address> peer_entries::near_entries() const {
+    std::vector<machine_address> out;
+    for (const auto& [machine, it] : peers_)
+        if (is_near(it))
+            out.push_back(machine);
+    return out;
+}
+
 data_centre_id peer_entries::data_centre_of(machine_address machine) const {
     const auto it = peers_.find(machine);
     return it == peers_.end() ? data_centre_id() : it->second.data_centre;
@@ -153,6 +161,7 @@
     const peer_hello hello = make_hello(own, false, now);
     for (const machine_address it : receivers)
         send_hello(it, peers_.at(it), hello);
+    round_receivers_ = std::move(receivers);
 }
 
 void peer_entries::forget_lost(time_point now) {
--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
     service_id other_service = service_id_of("acervo");
     /// Send limit for the searches of each entry.
     double search_bytes_per_second = 31e6;
+    /// See relay::entry_relay_options.
+    bool expects_evacuations = false;
 };
 
 /// @brief Extra delay by index of the packet or message, or empty to drop it.
@@ -84,7 +87,7 @@
     std::size_t owning_host(std::size_t flow) const;
 
     /// @brief From now on the entry behaves as one of a build that knows no
-    /// eras of the store.
+    /// eras of the store and no evacuations.
     void disregard_eras(std::size_t entry);
     void kill_entry(std::size_t entry);
     void start_entry(std::size_t entry);
@@ -117,6 +120,14 @@
     /// service.
     void add_route(std::uint16_t service_port);
 
+    /// @brief The operator requests to evacuate the data centre, or takes the
+    /// request back. Entries and hosts belong to the first data centres.
+    void evacuate(std::size_t data_centre);
+    void take_back(std::size_t data_centre);
+    static relay::data_centre_id data_centre(std::size_t index) {
+        return relay::data_centre_id(1 + index);
+    }
+
     /// @brief Keeps a copy of the store's present contents.
     void back_up_store();
     /// @brief The store returns to the copy, revisions included; readers list
@@ -126,6 +137,8 @@
     /// has lost.
     void write_again();
 
+    /// @brief From now on all messages of the type are lost, or none.
+    void drop_messages(const std::string& type, bool dropped);
     /// @brief The entry loses access to the store.
     void disconnect_store(std::size_t entry);
     void reconnect_store(std::size_t entry);
@@ -155,7 +168,11 @@
     /// @brief Number of times that an entry started to read the store after
     /// its start.
     std::uint64_t reader_changes() const { return reader_changes_; }
+    bool reads_store(std::size_t entry) const;
     bool is_entry_ready(std::size_t entry) const;
+    const relay::evacuation_table& evacuations_of(std::size_t entry) const;
+    /// @brief Events with the name that entries have reported so far.
+    std::size_t count_events(const std::string& name) const;
     const relay::directory& directory_of(std::size_t entry) const;
     const violations& found_violations() const { return violations_; }
 
@@ -229,6 +246,8 @@
     std::size_t transfer_count_ = 0;
     std::uint64_t entry_bytes_ = 0;
     std::map<std::string, path_counts> sent_messages_;
+    std::set<std::string> dropped_types_;
+    std::map<std::string, std::size_t> event_counts_;
     std::uint64_t reader_changes_ = 0;
     std::uint64_t resets_ = 0;
     std::uint64_t store_answers_ = 0;
--- a/packages/testing/include/arbutusport/emulator/relay_world_store.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world_store.hpp
@@ -1,6 +1,6 @@
-// Contents of the platform's store in simulations: one routing document and the
-// registrations of hosts, with a revision for each change and an era for each
-// restore.
+// Contents of the platform's store in simulations: one routing document, the
+// registrations of hosts and the evacuated data centres, with a revision for
+// each change and an era for each restore.
 #pragma once
 
 #include <arbutusport/relay/directory.hpp>
@@ -17,6 +17,8 @@
     relay::directory_change put(const relay::host_record& it);
     relay::directory_change put(const relay::routing_document& it);
     relay::directory_change remove(relay::host_key key);
+    relay::directory_change evacuate(relay::data_centre_id it);
+    relay::directory_change take_back(relay::data_centre_id it);
     /// @brief All registrations expire, in one revision.
     void expire_registrations();
     /// @brief Returns to the contents and the revision of `backup`, in the next
@@ -32,6 +34,7 @@
     std::uint64_t revision_ = 0;
     std::optional<relay::directory_change> routing_;
     std::map<relay::host_key, relay::directory_change> hosts_;
+    std::map<relay::data_centre_id, relay::directory_change> evacuations_;
 };
 
 } // namespace arbutusport::emulator
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -123,7 +123,7 @@
                                  answer_read(entry, id);
                          });
             },
-        .report = [](const relay::event&) {}};
+        .report = [this](const relay::event& it) { ++event_counts_[it.name]; }};
     it.is_reader = true;
     it.process = std::make_unique<relay::entry_relay>(
         relay::entry_relay_options{
@@ -131,6 +131,7 @@
             .self = self,
             .data_centre = data_centre_of(self),
             .seeds = {machine_address(first_entry_address)},
+            .expects_evacuations = options_.expects_evacuations,
             .search = {.budget = {.bytes_per_second =
                                       options_.search_bytes_per_second}}},
         hooks);
@@ -215,8 +216,7 @@
     const auto first = machine.value() >= first_host_address
                            ? first_host_address
                            : first_entry_address;
-    return relay::data_centre_id(1 + (machine.value() - first) %
-                                         options_.data_centres);
+    return data_centre((machine.value() - first) % options_.data_centres);
 }
 
 void relay_world::count_message(machine_address from, machine_address to,
@@ -240,9 +240,14 @@
 
 void relay_world::send_message(machine_address from, machine_address to,
                                const relay::message& message) {
+    const std::size_t sender = from.value() - first_entry_address;
+    if (sender < entries_.size() && entries_[sender]->disregards_eras &&
+        std::holds_alternative<relay::operator_intent>(message))
+        return;
     count_message(from, to, message);
     const auto delay = next_transfer_delay();
     if (!delay || is_isolated(from) || is_isolated(to) ||
+        dropped_types_.contains(relay::type_name(message)) ||
         !understands(to, message))
         return;
     schedule(*delay, [this, from, to, message] {
--- a/packages/testing/src/emulator/relay_world_faults.cpp
+++ b/packages/testing/src/emulator/relay_world_faults.cpp
@@ -6,6 +6,15 @@
 
 namespace arbutusport::emulator {
 
+namespace {
+
+bool is_evacuation(const relay::directory_change& it) {
+    return std::holds_alternative<relay::evacuation_set>(it.what) ||
+           std::holds_alternative<relay::evacuation_removed>(it.what);
+}
+
+} // namespace
+
 void relay_world::crash_host(std::size_t host) {
     host_state& it = *hosts_[host];
     it.running = false;
@@ -104,7 +113,8 @@
     for (std::size_t i = 0; i < entries_.size(); ++i)
         schedule(options_.delay + entries_[i]->change_delay, [this, i, change] {
             entry_state& it = *entries_[i];
-            if (!it.process || !it.has_store_access || !it.is_reader)
+            if (!it.process || !it.has_store_access || !it.is_reader ||
+                (it.disregards_eras && is_evacuation(change)))
                 return;
             ++store_answers_;
             const auto seen = change_for(i, change);
@@ -125,6 +135,21 @@
     send_change(store_.put(routing_));
 }
 
+void relay_world::evacuate(std::size_t index) {
+    send_change(store_.evacuate(data_centre(index)));
+}
+
+void relay_world::take_back(std::size_t index) {
+    send_change(store_.take_back(data_centre(index)));
+}
+
+void relay_world::drop_messages(const std::string& type, bool dropped) {
+    if (dropped)
+        dropped_types_.insert(type);
+    else
+        dropped_types_.erase(type);
+}
+
 void relay_world::back_up_store() {
     backup_ = store_;
 }
@@ -192,6 +217,8 @@
 std::vector<relay::directory_change>
 relay_world::items_for(std::size_t entry) const {
     auto items = store_.items();
+    if (entries_[entry]->disregards_eras)
+        std::erase_if(items, is_evacuation);
     for (auto& item : items)
         item = change_for(entry, std::move(item));
     return items;
@@ -234,6 +261,20 @@
     return static_cast<std::size_t>(it - entries_.begin());
 }
 
+bool relay_world::reads_store(std::size_t entry) const {
+    return entries_[entry]->process && entries_[entry]->is_reader;
+}
+
+const relay::evacuation_table&
+relay_world::evacuations_of(std::size_t entry) const {
+    return entries_[entry]->process->evacuations();
+}
+
+std::size_t relay_world::count_events(const std::string& name) const {
+    const auto it = event_counts_.find(name);
+    return it == event_counts_.end() ? 0 : it->second;
+}
+
 bool relay_world::is_entry_ready(std::size_t entry) const {
     const auto& it = entries_[entry]->process;
     return it && it->is_ready(time_point(now_));
--- a/packages/testing/src/emulator/relay_world_flows.hpp
+++ b/packages/testing/src/emulator/relay_world_flows.hpp
@@ -39,6 +39,17 @@
     return count;
 }
 
+/// @brief All entries lose the store, which returns from its backup.
+inline void lose_and_restore(relay_world& world, std::size_t entries) {
+    for (std::size_t i = 0; i < entries; ++i)
+        world.disconnect_store(i);
+    world.run_for(std::chrono::seconds(2));
+    world.restore_store();
+    for (std::size_t i = 0; i < entries; ++i)
+        world.reconnect_store(i);
+    world.run_for(std::chrono::milliseconds(50));
+}
+
 inline std::string join_lines(const violations& it) {
     std::string out;
     for (const auto& one : it)
--- a/packages/testing/src/emulator/relay_world_store.cpp
+++ b/packages/testing/src/emulator/relay_world_store.cpp
@@ -23,6 +23,17 @@
     return {as_of(), relay::host_removed{key}};
 }
 
+directory_change relay_world_store::evacuate(relay::data_centre_id it) {
+    ++revision_;
+    return evacuations_[it] = {as_of(), relay::evacuation_set{it}};
+}
+
+directory_change relay_world_store::take_back(relay::data_centre_id it) {
+    ++revision_;
+    evacuations_.erase(it);
+    return {as_of(), relay::evacuation_removed{it}};
+}
+
 void relay_world_store::expire_registrations() {
     ++revision_;
     hosts_.clear();
@@ -40,6 +51,8 @@
         move_to_era(*routing_);
     for (auto& [key, it] : hosts_)
         move_to_era(it);
+    for (auto& [data_centre, it] : evacuations_)
+        move_to_era(it);
 }
 
 bool relay_world_store::contains(const relay::host_record& it) const {
@@ -54,6 +67,8 @@
         out.push_back(*routing_);
     for (const auto& [key, it] : hosts_)
         out.push_back(it);
+    for (const auto& [data_centre, it] : evacuations_)
+        out.push_back(it);
     return out;
 }
 
--- a/packages/testing/src/emulator/restored_store_test.cpp
+++ b/packages/testing/src/emulator/restored_store_test.cpp
@@ -21,17 +21,6 @@
 constexpr std::uint16_t added_port = 444;
 constexpr std::uint16_t later_port = 445;
 
-// All entries lose the store, which returns from its backup.
-void lose_and_restore(relay_world& world, std::size_t entries) {
-    for (std::size_t i = 0; i < entries; ++i)
-        world.disconnect_store(i);
-    world.run_for(seconds(2));
-    world.restore_store();
-    for (std::size_t i = 0; i < entries; ++i)
-        world.reconnect_store(i);
-    world.run_for(milliseconds(50));
-}
-
 // Whether every entry opens a flow to the port of the service address.
 bool serves_everywhere(relay_world& world, std::uint16_t port,
                        std::size_t entries) {
