--- a/packages/core/src/relay/host_candidates.cpp
+++ b/packages/core/src/relay/host_candidates.cpp
@@ -28,7 +28,8 @@
     std::vector<candidate> out;
     std::vector<candidate> others;
     for (const auto& [key, host] : known.hosts()) {
-        if (host.record.service != service || host.record.draining)
+        if (host.record.service != service || host.record.draining ||
+            options_.is_evacuated(host.record.data_centre))
             continue;
         const auto it = make_candidate(known, host, now);
         if (!it || is_taken_over(known, host))
