--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -7,11 +7,13 @@
 #pragma once
 
 #include <arbutusport/relay/directory.hpp>
+#include <arbutusport/relay/hello_choice.hpp>
 #include <arbutusport/relay/messages.hpp>
 #include <arbutusport/relay/owner_search.hpp>
 #include <arbutusport/relay/placement.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -52,6 +54,30 @@
     std::size_t likely_owners = 8;
     /// After this time an unanswered opening no longer counts.
     duration unanswered_retention = std::chrono::seconds(2);
+    /// The deployment limits the opening packets of cold hosts.
+    bool limits_cold_hosts = false;
+    /// Whether no new flow may be placed in the data centre.
+    std::function<bool(data_centre_id)> is_evacuated = [](data_centre_id) {
+        return false;
+    };
+};
+
+/// @brief Number of flows whose first request the last report of their host
+/// cannot include. The requests follow the opening by about a round trip.
+class recent_count {
+public:
+    void add(time_point now);
+    void subtract(std::uint32_t n);
+    /// @brief Keeps what was counted just before the report.
+    void on_report(time_point now);
+    void clear() { *this = {}; }
+    std::uint32_t value() const { return total_; }
+
+private:
+    std::uint32_t total_ = 0;
+    /// Part of `total_` since `newest_from_`.
+    std::uint32_t newest_ = 0;
+    time_point newest_from_;
 };
 
 class host_peers {
@@ -71,11 +97,21 @@
         time_point known_since;
         time_point hello_at;
         load_report report;
-        std::uint32_t placed_since = 0;
+        /// Flows that this entry placed there and that were not announced, and
+        /// those that were announced, since the last report.
+        recent_count placed;
+        recent_count opened;
         std::uint32_t unanswered = 0;
         time_point unanswered_at;
         /// The process has sent its flows to this entry process.
         bool sent_flows = false;
+        hello_choice hellos;
+        /// Registration of the host, to notice a host that has started anew.
+        host_key registered_as;
+        /// Flows placed there since the last report, and whether the process
+        /// has returned an opening packet since; for the room of a cold host.
+        std::uint32_t openings_since = 0;
+        bool returned_since = false;
     };
 
     explicit host_peers(host_peer_options options = {}) : options_(options) {}
@@ -88,8 +124,8 @@
     void add_departed(const departed_host& it, time_point now);
     /// @brief Selects the hosts of other data centres to follow, by rank for
     /// the own data centre, so that its entries follow the same ones. Hosts
-    /// that do not answer or are draining do not count. Called by
-    /// take_due_hellos().
+    /// that do not answer, are draining or in an evacuated data centre do not
+    /// count. Called by take_due_hellos().
     void select_followed(const directory& known, time_point now);
     /// @brief Processes without a registered host that still answer this
     /// entry.
@@ -98,10 +134,17 @@
     /// as sent.
     std::vector<machine_address> take_due_hellos(const directory& known,
                                                  time_point now);
+    /// @brief The kinds of the next hello to the process.
+    hello_kinds next_hello(machine_address machine, time_point now);
+    /// @brief Makes the hellos to the processes of a data centre due at once.
+    void hasten_hellos(data_centre_id data_centre);
     void on_report(machine_address from, const load_report& it, time_point now);
-    void on_flows(machine_address from, const owned_flows& it);
-    void on_placed(machine_address machine);
+    void on_flows(machine_address from, const owned_flows& it, time_point now);
+    void on_placed(machine_address machine, time_point now);
     void on_answered(machine_address machine);
+    /// @brief The process has returned an opening packet. A cold host then
+    /// counts as without room until its next report.
+    void on_returned(machine_address machine);
     void on_unanswered(machine_address machine, time_point now);
     /// @brief Restarts the timeouts of all peers after this process was
     /// suspended.
@@ -126,8 +169,12 @@
     std::vector<owner_search::target>
     possible_owners(std::span<const service_tag> services,
                     std::uint64_t flow_hash, time_point now) const;
+    /// @brief Flows at the hosts of the data centre, as last reported by the
+    /// followed processes.
+    std::uint64_t reported_flows(data_centre_id data_centre) const;
     /// @brief Returns the followed hosts of a service that may receive new
-    /// flows; all of its hosts if none of the followed ones is reachable.
+    /// flows; all of its hosts if none of the followed ones is reachable and
+    /// has room left.
     std::vector<candidate> candidates(const directory& known,
                                       service_id service, time_point now) const;
 
@@ -142,8 +189,12 @@
     duration interval(const peer& it) const;
     duration silence_timeout(const peer& it) const;
     bool is_reachable(const peer& it, time_point now) const;
-    std::optional<candidate> make_candidate(const directory::host& host,
+    std::optional<candidate> make_candidate(const directory& known,
+                                            const directory::host& host,
                                             time_point now) const;
+    std::uint32_t opening_room(const directory& known,
+                               const directory::host& host, const peer& process,
+                               time_point now) const;
 
     host_peer_options options_;
     std::unordered_map<machine_address, peer> peers_;
--- a/packages/core/include/arbutusport/relay/placement.hpp
+++ b/packages/core/include/arbutusport/relay/placement.hpp
@@ -27,12 +27,20 @@
     std::uint32_t flows = 0;
     /// Flows that this entry placed there since `flows` was reported.
     std::uint32_t placed_since = 0;
+    /// Flows that were announced to this entry, whoever placed them, and whose
+    /// first request the last report cannot include.
+    std::uint32_t opened_since = 0;
     /// Consecutive opening packets that the host did not answer in time.
     std::uint32_t unanswered = 0;
+    /// Opening packets that the host may still receive; limited while it is
+    /// cold.
+    std::uint32_t opening_room = unlimited_room;
     /// As last reported; empty if the host process runs an earlier build.
     std::optional<host_work> work;
     /// Age of that report.
     duration report_age{};
+
+    static constexpr std::uint32_t unlimited_room = 0xffffffff;
 };
 
 struct placement_options {
@@ -59,6 +67,10 @@
     /// Minimum load of a flow in requests in progress; used in particular
     /// before anything was measured.
     double default_flow_load = 0.02;
+    /// Load, in requests per slot, that one usual service time more for each
+    /// request adds. As with `remote_penalty`, it makes no request late by
+    /// itself; that slow hosts are full sooner is counted apart.
+    double service_weight = 0.25;
 };
 
 /// @brief Rank of a host for a flow; the lowest is considered first. Every
@@ -68,7 +80,7 @@
 
 /// @brief Returns the hosts among which a flow is placed: the first local and
 /// the first remote ones by rank. Unreachable hosts are included only if there
-/// are no others.
+/// are no others. Hosts that have no room left are not included.
 std::vector<candidate> ranked_hosts(std::vector<candidate> hosts,
                                     std::uint64_t flow_hash,
                                     const placement_options& options = {});
@@ -78,11 +90,16 @@
     bool reachable = true;
     /// Requests per slot, with the penalties of the options.
     double load = 0;
+    /// Relative to the service's usual host; 1 if it is not known.
+    double speed = 1;
+    /// Expected time until the flow's first request is complete; zero if no
+    /// work is reported.
+    duration completion{};
 };
 
-/// @brief Returns the host with the least expected load among those not in
-/// `tried`; an unreachable one only if there are no others. Empty if all were
-/// tried. `tie_breaker` decides between equal hosts.
+/// @brief Returns the host with the least expected load among those that have
+/// room left and are not in `tried`; an unreachable one only if there are no
+/// others. Empty if all were tried. `tie_breaker` decides between equal hosts.
 std::optional<host_choice> choose_host(std::span<const candidate> hosts,
                                        std::span<const machine_address> tried,
                                        std::uint64_t tie_breaker,
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -9,9 +9,13 @@
 
 namespace {
 
-host_peer_options make_peer_options(const entry_relay_options& options) {
+host_peer_options make_peer_options(const entry_relay_options& options,
+                                    const evacuation_table& evacuations) {
     host_peer_options out = options.peers;
     out.data_centre = options.data_centre;
+    out.is_evacuated = [&evacuations](data_centre_id it) {
+        return evacuations.is_evacuated(it);
+    };
     return out;
 }
 
@@ -19,7 +23,9 @@
 
 entry_relay::entry_relay(entry_relay_options options, entry_relay_hooks hooks)
     : options_(std::move(options)), hooks_(std::move(hooks)),
-      directory_(options_.directory), peers_(make_peer_options(options_)),
+      directory_(options_.directory),
+      evacuations_([this](data_centre_id it) { return has_hosts(it); }),
+      peers_(make_peer_options(options_, evacuations_)),
       entries_(
           {.run = options_.run,
            .self = options_.self,
@@ -184,6 +190,12 @@
                        packet.datagram);
         return;
     }
+    if (awaits_evacuations(now)) {
+        report({.name = "dropped",
+                .reason = "evacuations_unknown",
+                .flow = packet.flow});
+        return;
+    }
     hints_.erase(packet.flow);
     search_.forget(packet.flow);
     const auto found = openings_.find(packet.flow);
@@ -227,16 +239,19 @@
         return false;
     pending.tried.push_back(chosen->machine);
     pending.due = now + options_.answer_timeout;
-    peers_.on_placed(chosen->machine);
-    report({.name = "flow_placed",
-            .reason = pending.tried.size() > 1 ? "another_host" : "least_load",
-            .flow = flow,
-            .machine = chosen->machine,
-            .inputs = {
-                {{"load_milli", static_cast<std::int64_t>(1000 * chosen->load)},
-                 {"load_age_ms", peers_.report_age_ms(chosen->machine, now)},
-                 {"attempt", static_cast<std::int64_t>(pending.tried.size())},
-                 version_input()}}});
+    peers_.on_placed(chosen->machine, now);
+    report(
+        {.name = "flow_placed",
+         .reason = pending.tried.size() > 1 ? "another_host" : "least_load",
+         .flow = flow,
+         .machine = chosen->machine,
+         .inputs = {
+             {{"load_milli", static_cast<std::int64_t>(1000 * chosen->load)},
+              {"load_age_ms", peers_.report_age_ms(chosen->machine, now)},
+              {"completion_us", chosen->completion.count()},
+              {"speed_milli", static_cast<std::int64_t>(1000 * chosen->speed)},
+              {"attempt", static_cast<std::int64_t>(pending.tried.size())},
+              version_input()}}});
     hooks_.forward(chosen->machine, make_placement_mark(pending.service),
                    pending.datagram);
     return true;
@@ -280,7 +295,8 @@
     if (!best) {
         report({.severity = event::level::warning,
                 .name = "refused",
-                .reason = "service_without_host",
+                .reason = is_evacuated(*flow_route) ? "evacuated"
+                                                    : "service_without_host",
                 .flow = flow,
                 .inputs = {version_input()}});
         return std::nullopt;
@@ -392,7 +408,7 @@
     hooks_.reset(it.flow, it.acknowledged);
 }
 
-std::array<event_input, 4>
+std::array<event_input, max_event_inputs>
 entry_relay::conclusion_inputs(const owner_search::conclusion& it) const {
     return {{{"denials", static_cast<std::int64_t>(it.denials)},
              {"after_ms", it.after / std::chrono::milliseconds(1)},
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -16,18 +16,31 @@
 constexpr std::size_t max_listed_departed = 64;
 // Reports of an earlier run of a process arrive late by at most this time.
 constexpr duration earlier_run_timeout = std::chrono::seconds(1);
+// The first request follows the opening by a client's round trip, a few
+// milliseconds within a region; a report includes it after that.
+constexpr duration first_request_delay = std::chrono::milliseconds(20);
 
-// Whether a host of another service has registered at the address since, and
-// the process there cannot be told apart by its tag.
-bool is_taken_over(const directory& known, const directory::host& host) {
-    const directory::host* newest =
-        known.newest_at(host.record.address.address);
-    return newest != nullptr && newest->record.service != host.record.service &&
-           make_service_tag(newest->record.service) ==
-               make_service_tag(host.record.service);
+} // namespace
+
+void recent_count::add(time_point now) {
+    if (now - newest_from_ > first_request_delay) {
+        newest_ = 0;
+        newest_from_ = now;
+    }
+    ++newest_;
+    ++total_;
 }
 
-} // namespace
+void recent_count::subtract(std::uint32_t n) {
+    total_ -= std::min(total_, n);
+    newest_ = std::min(newest_, total_);
+}
+
+void recent_count::on_report(time_point now) {
+    if (now - newest_from_ > first_request_delay)
+        newest_ = 0;
+    total_ = newest_;
+}
 
 // The hosts of one service, as far as the selection of followed ones needs
 // them.
@@ -39,6 +52,7 @@
     // Hosts of other data centres that are not draining, by their rank.
     std::map<std::uint64_t, machine_address> remote;
     std::set<machine_address> unusable;
+    std::set<machine_address> evacuated;
     std::set<data_centre_id> data_centres;
 };
 
@@ -62,6 +76,10 @@
         if (std::exchange(one.draining, it.record.draining) !=
             it.record.draining)
             one.hello_at = {};
+        // Its process limits the opening packets of a cold host.
+        if (std::exchange(one.registered_as, key) != key &&
+            options_.limits_cold_hosts && it.record.warmup_left > duration())
+            one.hello_at = {};
     }
     // A host serves its flows after its registration vanished, so its process
     // is followed until it no longer answers.
@@ -81,7 +99,10 @@
     // Figures of a process that is not followed become outdated.
     it.has_reported = false;
     it.sent_flows = false;
-    it.placed_since = 0;
+    it.placed.clear();
+    it.opened.clear();
+    it.openings_since = 0;
+    it.returned_since = false;
     it.unanswered = 0;
 }
 
@@ -99,11 +120,16 @@
         here.data_centres.insert(it.record.data_centre);
         if (it.record.draining)
             continue;
+        const bool evacuated = options_.is_evacuated(it.record.data_centre);
+        if (evacuated && it.record.data_centre == options_.data_centre)
+            continue;
         const bool usable = !one.followed || is_reachable(one, now);
         if (it.record.data_centre != options_.data_centre) {
             here.remote.emplace(
                 placement_rank(options_.data_centre.value(), machine), machine);
-            if (!usable)
+            if (evacuated)
+                here.evacuated.insert(machine);
+            else if (!usable)
                 here.unusable.insert(machine);
         } else if (usable) {
             ++here.usable_near;
@@ -123,14 +149,24 @@
                    now);
 }
 
-// Hosts that do not answer stay followed, so that their return is noticed.
+// Hosts that do not answer stay followed, so that their return is noticed. So
+// do a few in evacuated data centres, whose load must be known when these are
+// taken back; all of them would be entries x hosts messages.
 void host_peers::choose_remote(
     const service_hosts& here,
     std::unordered_set<machine_address>& chosen) const {
     auto left = remote_count(here);
+    auto evacuated_left = options_.remote_hosts;
     for (const auto& [rank, machine] : here.remote) {
+        if (here.evacuated.contains(machine)) {
+            if (evacuated_left > 0) {
+                chosen.insert(machine);
+                --evacuated_left;
+            }
+            continue;
+        }
         if (left == 0)
-            return;
+            continue;
         chosen.insert(machine);
         if (!here.unusable.contains(machine))
             --left;
@@ -192,6 +228,23 @@
     return due;
 }
 
+hello_kinds host_peers::next_hello(machine_address machine, time_point now) {
+    const auto it = peers_.find(machine);
+    if (it == peers_.end())
+        return {};
+    peer& known = it->second;
+    const bool is_silent =
+        !known.has_reported ||
+        now - known.heard_at > interval(known) + options_.answer_delay;
+    return known.hellos.next(is_silent);
+}
+
+void host_peers::hasten_hellos(data_centre_id data_centre) {
+    for (auto& [machine, it] : peers_)
+        if (it.data_centre == data_centre)
+            it.hello_at = {};
+}
+
 void host_peers::on_report(machine_address from, const load_report& report,
                            time_point now) {
     const auto it = peers_.find(from);
@@ -210,12 +263,17 @@
     known.heard_at = now;
     known.report = report;
     known.service = report.service;
-    known.placed_since = 0;
+    known.placed.on_report(now);
+    known.opened.on_report(now);
+    known.openings_since = 0;
+    known.returned_since = false;
+    known.hellos.on_report(report.run, report.work.has_value());
     if (now - known.unanswered_at > options_.unanswered_retention)
         known.unanswered = 0;
 }
 
-void host_peers::on_flows(machine_address from, const owned_flows& here) {
+void host_peers::on_flows(machine_address from, const owned_flows& here,
+                          time_point now) {
     const auto it = peers_.find(from);
     if (it == peers_.end())
         return;
@@ -224,12 +282,24 @@
     known.report.outstanding = here.outstanding;
     known.report.flows = here.total;
     const auto announced = static_cast<std::uint32_t>(here.flows.size());
-    known.placed_since -= std::min(known.placed_since, announced);
+    known.placed.subtract(announced);
+    // An opening is announced alone, to all entries of its data centre. Longer
+    // lists name flows that the host has had for some time.
+    if (announced == 1)
+        known.opened.add(now);
 }
 
-void host_peers::on_placed(machine_address machine) {
+void host_peers::on_placed(machine_address machine, time_point now) {
+    const auto it = peers_.find(machine);
+    if (it == peers_.end())
+        return;
+    it->second.placed.add(now);
+    ++it->second.openings_since;
+}
+
+void host_peers::on_returned(machine_address machine) {
     if (const auto it = peers_.find(machine); it != peers_.end())
-        ++it->second.placed_since;
+        it->second.returned_since = true;
 }
 
 void host_peers::on_answered(machine_address machine) {
@@ -347,52 +417,11 @@
     return out;
 }
 
-std::vector<candidate> host_peers::candidates(const directory& known,
-                                              service_id service,
-                                              time_point now) const {
-    std::vector<candidate> out;
-    std::vector<candidate> others;
-    for (const auto& [key, host] : known.hosts()) {
-        if (host.record.service != service || host.record.draining)
-            continue;
-        const auto it = make_candidate(host, now);
-        if (!it || is_taken_over(known, host))
-            continue;
-        const peer* known_peer = find(it->machine);
-        const bool followed = known_peer == nullptr || known_peer->followed;
-        (followed ? out : others).push_back(*it);
-    }
-    if (std::ranges::none_of(out, &candidate::reachable))
-        out.insert(out.end(), others.begin(), others.end());
-    return out;
-}
-
-// Returns nothing if the address is already used by another service.
-std::optional<candidate> host_peers::make_candidate(const directory::host& host,
-                                                    time_point now) const {
-    const host_record& record = host.record;
-    const machine_address machine(record.address.address);
-    const peer* known = find(machine);
-    if (known != nullptr && known->has_reported &&
-        known->report.service != make_service_tag(record.service))
-        return std::nullopt;
-    candidate out{.machine = machine,
-                  .local = record.data_centre == options_.data_centre,
-                  .slots = record.slots,
-                  .warming_up = now - host.seen_at < record.warmup_left};
-    const bool has_reported = known != nullptr && known->has_reported;
-    if (known != nullptr) {
-        out.reachable = !known->followed || is_reachable(*known, now);
-        out.placed_since = known->placed_since;
-        out.unanswered = known->unanswered;
-    }
-    if (has_reported) {
-        out.busy = known->report.busy_milli / 1000.0;
-        out.outstanding = known->report.outstanding;
-        out.flows = known->report.flows;
-    }
-    if (host.lapsed)
-        out.reachable = out.reachable && has_reported;
+std::uint64_t host_peers::reported_flows(data_centre_id data_centre) const {
+    std::uint64_t out = 0;
+    for (const auto& [machine, it] : peers_)
+        if (it.data_centre == data_centre && it.has_reported)
+            out += it.report.flows;
     return out;
 }
 
