Tests of evacuations fail when one part of them is taken out

The message with a requested directory, the hosts followed elsewhere and the repeated message in a larger data centre had no test that fails without them.

--- a/packages/core/src/relay/entry_evacuation_test.cpp
+++ b/packages/core/src/relay/entry_evacuation_test.cpp
@@ -6,6 +6,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <map>
 #include <string>
 
 namespace arbutusport::relay {
@@ -43,6 +44,7 @@
 // An entry that expects evacuations.
 struct fixture {
     std::vector<machine_address> packets;
+    std::vector<std::string> sent;
     std::vector<std::string> events;
     std::vector<std::string> listings;
     std::optional<revision> reads_after;
@@ -59,7 +61,10 @@
                 {.forward = [this](machine_address to, routing_mark,
                                    byte_view) { packets.push_back(to); },
                  .reset = [this](const flow_key&, std::uint32_t) { ++resets; },
-                 .send = [](machine_address, const message&) {},
+                 .send =
+                     [this](machine_address, const message& it) {
+                         sent.emplace_back(type_name(it));
+                     },
                  .decode = [this](byte_view) { return std::optional(opening); },
                  .restart_reading =
                      [this](const char* reason) {
@@ -151,6 +156,8 @@
     CPPUNIT_TEST(a_new_reader_without_a_table_lists_the_store);
     CPPUNIT_TEST(no_flow_is_placed_before_the_table_is_known);
     CPPUNIT_TEST(an_unknown_table_delays_flows_for_a_limited_time);
+    CPPUNIT_TEST(a_requested_directory_comes_with_the_table);
+    CPPUNIT_TEST(evacuated_hosts_displace_no_others);
     CPPUNIT_TEST(a_copy_of_an_accepted_opening_reaches_its_host);
     CPPUNIT_TEST(an_unanswered_opening_stays_out_of_the_data_centre);
     CPPUNIT_TEST(a_returned_opening_stays_out_of_the_data_centre);
@@ -220,6 +227,49 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.packets.size());
     }
 
+    // Guards against an entry that starts while the store is down and gets the
+    // directory before, or without, the requests.
+    void a_requested_directory_comes_with_the_table() {
+        for (const bool expects : {true, false}) {
+            fixture it(expects);
+            it.list(5);
+            it.sent.clear();
+            it.entry.on_message(peer, directory_request{}, start);
+            CPPUNIT_ASSERT(
+                it.sent ==
+                (expects ? std::vector<std::string>(
+                               {"operator_intent", "directory_part"})
+                         : std::vector<std::string>({"directory_part"})));
+        }
+    }
+
+    // Guards against entries that follow hosts elsewhere which may not be used,
+    // and too few of the others; and against hellos to all evacuated hosts.
+    void evacuated_hosts_displace_no_others() {
+        constexpr data_centre_id elsewhere{3};
+        directory known;
+        std::vector<directory_change> items{{revision(2), make_routing()}};
+        for (std::uint32_t i = 0; i < 60; ++i)
+            items.push_back(
+                {revision(3 + i), record(i, data_centre_id(1 + i % 3),
+                                         machine_address(0x0a010001 + i))});
+        known.adopt_listing(revision(100), items, start);
+        host_peers peers(
+            {.data_centre = here,
+             .is_evacuated = [](data_centre_id it) { return it == there; }});
+        peers.update_from_directory(known, start);
+        std::map<data_centre_id, std::size_t> followed;
+        for (std::uint32_t i = 0; i < 60; ++i) {
+            const auto* it = peers.find(machine_address(0x0a010001 + i));
+            followed[it->data_centre] += it->followed ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, followed[here]);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, followed[elsewhere]);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, followed[there]);
+        for (const candidate& it : peers.candidates(known, service, start))
+            CPPUNIT_ASSERT(peers.find(it.machine)->data_centre != there);
+    }
+
     // Guards against a second flow elsewhere while the host has the first one.
     void a_copy_of_an_accepted_opening_reaches_its_host() {
         fixture it;
--- a/packages/testing/src/emulator/relay_evacuation_test.cpp
+++ b/packages/testing/src/emulator/relay_evacuation_test.cpp
@@ -316,16 +316,19 @@
     }
 
     // Guards against entries that keep placing because the one message that
-    // followed the change was lost.
+    // followed the change was lost; most are no successors of the reader, which
+    // receive its announcements.
     void a_lost_message_is_repeated() {
-        relay_world world(two_data_centres());
+        auto options = two_data_centres();
+        options.entries = 24;
+        relay_world world(options);
         world.run_until(startup_time);
         world.drop_messages("operator_intent", true);
         world.evacuate(0);
         world.run_for(milliseconds(400));
         world.drop_messages("operator_intent", false);
         world.run_for(seconds(1));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, place_everywhere(world, 0));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, place_everywhere(world, 0, 24));
     }
 
     // Guards against a new reader whose directory is newer than the request,
