End the measurement of a request when the host closes its flow

Cause: a request that the host breaks off without an answer counted as work left for 30 s.

Change: the host's FIN ends it.

--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -159,8 +159,11 @@
         if (packet.payload_bytes > 0)
             set_busy(flow, false, now);
         measure_host_data(flow, packet, now);
-        if (packet.fin)
+        if (packet.fin) {
             flow.host_closed = true;
+            // Answers nothing after this.
+            work_.on_flow_end(packet.flow, now);
+        }
     }
     hooks_.to_client(packet.flow, packet.datagram);
 }
--- a/packages/core/src/relay/host_work_test.cpp
+++ b/packages/core/src/relay/host_work_test.cpp
@@ -59,6 +59,12 @@
         relay_.on_host(it, now);
     }
 
+    void close_by_host(time_point now) {
+        segment it = from_host(host_start + 1, 0);
+        it.fin = true;
+        relay_.on_host(it, now);
+    }
+
     void reset(time_point now) {
         segment it = from_client(client_start + 1, 0);
         it.rst = true;
@@ -124,6 +130,7 @@
     CPPUNIT_TEST(a_repeated_answer_does_not_end_the_next_request);
     CPPUNIT_TEST(only_entries_that_ask_receive_work);
     CPPUNIT_TEST(a_reset_flow_leaves_no_work);
+    CPPUNIT_TEST(a_flow_that_the_host_closed_leaves_no_work);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -204,6 +211,14 @@
         const auto work = it.reported(current_entry, start + milliseconds(20));
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, work->backlog_us);
     }
+
+    // Guards against requests that the host breaks off without an answer.
+    void a_flow_that_the_host_closed_leaves_no_work() {
+        one_flow it;
+        it.send(0, 100, start);
+        it.close_by_host(start + milliseconds(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.relay().work().requests());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(host_work_test);
