Copies of packets and abandoned requests are not outstanding

Cause: any packet with data made its flow busy until the host's next data or the end of the flow, up to 30 s. A copy of a request that passed its answer, and a request whose client gave up, counted as in progress. After a loss of power the least loaded hosts reported 3 to 8 requests a slot, 0.5 to 1.2 before.

Change: the outstanding requests are those of the work meter, which sees new data only and drops requests that later answers show to be lost. Hellos with a changed directive go out at once.

--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -111,8 +111,6 @@
         bool confirmed = false;
         // The host has sent more than its answer to the opening packet.
         bool established_by_host = false;
-        // The host is processing a request.
-        bool busy = false;
         bool client_closed = false;
         bool host_closed = false;
         // End of the data that each end has sent so far, to tell new data from
@@ -168,7 +166,7 @@
     void set_state(host_state new_state, time_point now);
     void end_all_flows(time_point now);
     void deliver(machine_address via, const segment& packet, time_point now);
-    void set_busy(flow_state& it, bool busy, time_point now);
+    void update_load(time_point now);
     void measure_client_data(flow_state& flow, const segment& packet,
                              time_point now);
     void measure_host_data(flow_state& flow, const segment& packet,
--- a/packages/core/include/arbutusport/relay/load_meter.hpp
+++ b/packages/core/include/arbutusport/relay/load_meter.hpp
@@ -13,8 +13,7 @@
     explicit load_meter(duration window = std::chrono::seconds(1))
         : window_(window) {}
 
-    void add(int change, time_point now);
-    void clear(time_point now);
+    void set(std::uint32_t outstanding, time_point now);
     std::uint32_t outstanding() const { return outstanding_; }
     double mean(time_point now);
 
--- a/packages/core/src/relay/entry_evacuation.cpp
+++ b/packages/core/src/relay/entry_evacuation.cpp
@@ -120,13 +120,17 @@
                      as_of_input()}}});
     };
     for (const evacuation& it : in_force_)
-        if (std::ranges::find(before, it) == before.end())
+        if (std::ranges::find(before, it) == before.end()) {
             report_one("evacuation_in_force", it);
+            peers_.hasten_hellos(it.data_centre);
+        }
     for (const evacuation& it : before)
-        if (!evacuations_.is_evacuated(it.data_centre))
+        if (!evacuations_.is_evacuated(it.data_centre)) {
             report_one(
                 "evacuation_lifted",
                 {it.data_centre, evacuations_.changed_at(it.data_centre)});
+            peers_.hasten_hellos(it.data_centre);
+        }
     peers_.select_followed(directory_, now);
     check_evacuations(now);
     if (!reading_)
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -126,6 +126,7 @@
         return;
     last_sweep_at_ = now;
     work_.expire(now);
+    update_load(now);
     std::vector<flow_key> ended;
     for (const auto& [flow, it] : flows_) {
         const duration silent = now - it.used_at;
@@ -147,8 +148,8 @@
     const auto it = flows_.find(flow);
     if (it == flows_.end())
         return;
-    set_busy(it->second, false, now);
     work_.on_flow_end(flow, now);
+    update_load(now);
     flows_.erase(it);
 }
 
@@ -174,13 +175,6 @@
         hooks_.send(additional_entry, announcement);
 }
 
-void host_relay::set_busy(flow_state& it, bool busy, time_point now) {
-    if (it.busy == busy)
-        return;
-    it.busy = busy;
-    load_.add(busy ? 1 : -1, now);
-}
-
 // Within the idle timeout every live flow has sent at least one packet.
 bool host_relay::knows_all_flows(time_point now) const {
     return now - flows_complete_since_ >= idle_timeout_;
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -131,10 +131,8 @@
         flow.acknowledged = packet.acknowledged;
     if (const auto via = data_centre_of(from); via != data_centre_id())
         flow.via = via;
-    if (packet.payload_bytes > 0) {
-        set_busy(flow, true, now);
+    if (packet.payload_bytes > 0)
         measure_client_data(flow, packet, now);
-    }
     if (packet.fin)
         flow.client_closed = true;
     if (packet.rst)
@@ -176,13 +174,12 @@
         flow_state& flow = find_or_add_flow(packet, now);
         flow.used_at = now;
         flow.established_by_host = true;
-        if (packet.payload_bytes > 0)
-            set_busy(flow, false, now);
         measure_host_data(flow, packet, now);
         if (packet.fin) {
             flow.host_closed = true;
             // Answers nothing after this.
             work_.on_flow_end(packet.flow, now);
+            update_load(now);
         }
     }
     hooks_.to_client(packet.flow, packet.datagram);
@@ -321,8 +318,8 @@
     }
     flows_.clear();
     pending_deliveries_.clear();
-    load_.clear(now);
     work_.clear();
+    update_load(now);
     set_state(host_state::dead, now);
 }
 
--- a/packages/core/src/relay/host_work.cpp
+++ b/packages/core/src/relay/host_work.cpp
@@ -38,6 +38,7 @@
     else if (!flow.client_data_has_gap)
         return;
     work_.on_request(packet.flow, packet.flow.service, now);
+    update_load(now);
 }
 
 // A repetition of the previous answer must not end the next request.
@@ -52,6 +53,14 @@
         return;
     flow.host_data_end = end;
     work_.on_answer(packet.flow, now);
+    update_load(now);
+}
+
+// A copy of a packet must not count as a request in progress: after a restart
+// of all processes thousands of copies arrive, and flows whose client has given
+// up stay in the table.
+void host_relay::update_load(time_point now) {
+    load_.set(static_cast<std::uint32_t>(work_.requests()), now);
 }
 
 host_work host_relay::make_work(time_point now) const {
--- a/packages/core/src/relay/host_work_test.cpp
+++ b/packages/core/src/relay/host_work_test.cpp
@@ -59,6 +59,32 @@
         relay_.on_host(it, now);
     }
 
+    // The same on further flows, told apart by the client's port.
+    void open(std::uint16_t flow) {
+        segment opening = on_flow(flow, from_client(client_start, 0));
+        opening.syn = true;
+        opening.ack = false;
+        opening.mark = make_placement_mark(service);
+        relay_.on_entry(current_entry, opening, start);
+        segment it = on_flow(flow, from_host(host_start, 0));
+        it.syn = true;
+        it.acknowledged = client_start + 1;
+        relay_.on_host(it, start);
+    }
+
+    void send_on(std::uint16_t flow, std::uint32_t position, std::uint16_t size,
+                 time_point now) {
+        relay_.on_entry(
+            current_entry,
+            on_flow(flow, from_client(client_start + 1 + position, size)), now);
+    }
+
+    void answer_on(std::uint16_t flow, std::uint32_t position,
+                   std::uint16_t size, time_point now) {
+        relay_.on_host(
+            on_flow(flow, from_host(host_start + 1 + position, size)), now);
+    }
+
     void close_by_host(time_point now) {
         segment it = from_host(host_start + 1, 0);
         it.fin = true;
@@ -99,6 +125,11 @@
         return it;
     }
 
+    static segment on_flow(std::uint16_t flow, segment it) {
+        it.flow.client.port = static_cast<std::uint16_t>(41'000 + flow);
+        return it;
+    }
+
     static segment from_host(std::uint32_t sequence, std::uint16_t size) {
         segment it = from_client(sequence, size);
         it.acknowledged = client_start + 1;
@@ -131,9 +162,42 @@
     CPPUNIT_TEST(only_entries_that_ask_receive_work);
     CPPUNIT_TEST(a_reset_flow_leaves_no_work);
     CPPUNIT_TEST(a_flow_that_the_host_closed_leaves_no_work);
+    CPPUNIT_TEST(a_late_copy_of_an_answered_request_is_not_outstanding);
+    CPPUNIT_TEST(an_abandoned_request_is_not_outstanding_for_long);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // A client repeats a request after 200 ms; the copy may pass the answer.
+    // Guards against hosts that look busy for as long as such flows live.
+    void a_late_copy_of_an_answered_request_is_not_outstanding() {
+        one_flow it;
+        it.send(0, 100, start);
+        it.answer(0, 200, start + milliseconds(30), 100);
+        it.send(0, 100, start + milliseconds(210));
+        const time_point later = start + milliseconds(220);
+        CPPUNIT_ASSERT(it.reported(current_entry, later));
+        CPPUNIT_ASSERT_EQUAL(0U, it.reports().at(current_entry).outstanding);
+    }
+
+    // Guards against requests whose answer was lost with a process, or whose
+    // host forgot them: later requests that the host answered show that these
+    // are not in progress.
+    void an_abandoned_request_is_not_outstanding_for_long() {
+        one_flow it;
+        it.open(1);
+        it.open(2);
+        it.send(0, 100, start);
+        it.send_on(1, 0, 100, start);
+        time_point now = start + milliseconds(10);
+        for (std::uint32_t n = 0; n < 3; ++n) {
+            it.send_on(2, 100 * n, 100, now);
+            now += milliseconds(40);
+            it.answer_on(2, 200 * n, 200, now);
+        }
+        CPPUNIT_ASSERT(it.reported(current_entry, now));
+        CPPUNIT_ASSERT_EQUAL(0U, it.reports().at(current_entry).outstanding);
+    }
+
     void a_request_is_measured_to_the_first_packet_of_its_answer() {
         one_flow it;
         it.send(0, 100, start);
--- a/packages/core/src/relay/load_meter.cpp
+++ b/packages/core/src/relay/load_meter.cpp
@@ -6,17 +6,9 @@
 
 namespace arbutusport::relay {
 
-void load_meter::add(int change, time_point now) {
+void load_meter::set(std::uint32_t outstanding, time_point now) {
     advance(now);
-    if (change < 0 && outstanding_ < static_cast<std::uint32_t>(-change))
-        outstanding_ = 0;
-    else
-        outstanding_ += static_cast<std::uint32_t>(change);
-}
-
-void load_meter::clear(time_point now) {
-    advance(now);
-    outstanding_ = 0;
+    outstanding_ = outstanding;
 }
 
 double load_meter::mean(time_point now) {
--- a/packages/core/src/relay/placement_test.cpp
+++ b/packages/core/src/relay/placement_test.cpp
@@ -208,10 +208,10 @@
         using std::chrono::seconds;
         load_meter it;
         const time_point start{seconds(10)};
-        it.add(2, start);
+        it.set(2, start);
         CPPUNIT_ASSERT(it.mean(start + seconds(5)) > 1.9);
-        it.add(-1, start + seconds(5));
-        it.add(-5, start + seconds(5));
+        it.set(1, start + seconds(5));
+        it.set(0, start + seconds(5));
         CPPUNIT_ASSERT_EQUAL(0U, it.outstanding());
         CPPUNIT_ASSERT(it.mean(start + seconds(10)) < 0.1);
     }
