Cold hosts' fleet test: five times as many flows

The check with the limit off no longer failed: placement by expected completion spreads flows so that a cold host gets no more than its limit of the former demand. All tests of the file now run at five times the demand; the limit and the bounds are unchanged. Seen: without the limit the check fails again, 6 passed.

--- a/packages/testing/src/emulator/relay_cold_host_test.cpp
+++ b/packages/testing/src/emulator/relay_cold_host_test.cpp
@@ -25,7 +25,7 @@
 constexpr std::size_t entries = 40;
 constexpr std::size_t hosts = 200;
 constexpr std::size_t cold_hosts = 40;
-constexpr std::size_t flows_per_ms = 1;
+constexpr std::size_t flows_per_ms = 5;
 
 relay_world_options fleet(std::optional<relay::warmup_bounds> it) {
     return {.entries = entries,
