Evacuations: peers pass on removals from before a restore

After a restore of the store, an entry that had missed a removal of the earlier era kept the request for good: views of the new era say nothing about the earlier one, and list_ended() left out what ended in the first era. Every entry that started later and heard this one took the request over too.

Once the table is of a later era, it names all ended requests. Without a restore nothing more is sent.

a_removal_before_a_restore_reaches_those_that_lag was seen failing before the change (the entry that lagged kept the request).

--- a/packages/core/include/arbutusport/relay/evacuation_table.hpp
+++ b/packages/core/include/arbutusport/relay/evacuation_table.hpp
@@ -56,8 +56,9 @@
     revision changed_at(data_centre_id it) const;
     /// @brief Evacuated data centres.
     std::vector<evacuation> list() const;
-    /// @brief Ended requests that a peer's table must name: those ended in a
-    /// later era than the first, where absence alone does not end a request.
+    /// @brief Ended requests that a peer's table must name: all of them once
+    /// the store was restored, since absence from a table of a later era does
+    /// not end a request of an earlier one.
     std::vector<evacuation> list_ended() const;
     /// @brief True if no request is or was known.
     bool is_empty() const { return states_.empty(); }
--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -245,8 +245,8 @@
     /// Of the configuration that `warmup_limits` are from.
     std::uint64_t version = 0;
     std::vector<evacuation> evacuations;
-    /// Requests that ended in a later era than the first, and where. A table
-    /// that lacks them does not end requests of earlier eras.
+    /// Requests that ended, and where; empty until the store was restored. A
+    /// table of a later era that lacks a request does not end it.
     std::vector<evacuation> ended;
     std::vector<warmup_limit> warmup_limits;
 };
--- a/packages/core/src/relay/evacuation_table.cpp
+++ b/packages/core/src/relay/evacuation_table.cpp
@@ -147,10 +147,14 @@
     return out;
 }
 
+// A table of a later era says nothing about requests of the earlier ones, so a
+// peer that missed a removal before the restore has to be told of it. Without a
+// restore, the absence of a request in the table ends it.
 std::vector<evacuation> evacuation_table::list_ended() const {
     std::vector<evacuation> out;
     for (const auto& [data_centre, it] : states_)
-        if (!it.evacuated && it.at.era() > first_era)
+        if (!it.evacuated &&
+            (it.at.era() > first_era || complete_until_.era() > first_era))
             out.push_back({data_centre, it.at});
     return out;
 }
--- a/packages/core/src/relay/evacuation_table_test.cpp
+++ b/packages/core/src/relay/evacuation_table_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(a_newer_peer_ends_a_request);
     CPPUNIT_TEST(a_request_survives_a_restore_that_lost_it);
     CPPUNIT_TEST(a_removal_after_a_restore_reaches_followers);
+    CPPUNIT_TEST(a_removal_before_a_restore_reaches_those_that_lag);
     CPPUNIT_TEST(a_peer_from_before_the_restore_changes_nothing);
     CPPUNIT_TEST(a_listing_before_the_restore_arrives_late);
     CPPUNIT_TEST(names_without_hosts_are_bounded);
@@ -161,6 +162,29 @@
         CPPUNIT_ASSERT(!started.is_evacuated(here));
     }
 
+    // Guards against a removal that one entry missed before the restore: the
+    // request would stay in force there and at all entries that hear of it.
+    void a_removal_before_a_restore_reaches_those_that_lag() {
+        auto behind = listed(revision(10), {{here, revision(9)}});
+        auto ahead = behind;
+        ahead.apply(removal(revision(11)));
+        for (auto* it : {&behind, &ahead})
+            it->adopt_listing(revision(8, later_era), {});
+        evacuation_table started;
+        CPPUNIT_ASSERT(started.adopt_peer(intent_of(behind)));
+        CPPUNIT_ASSERT(started.is_evacuated(here));
+        const auto outdated = intent_of(behind);
+        for (auto* it : {&behind, &started}) {
+            CPPUNIT_ASSERT(it->adopt_peer(intent_of(ahead)));
+            CPPUNIT_ASSERT(!it->is_evacuated(here));
+            CPPUNIT_ASSERT(!it->adopt_peer(outdated));
+        }
+        evacuation_table last;
+        last.adopt_peer(intent_of(started));
+        CPPUNIT_ASSERT(!last.adopt_peer(outdated));
+        CPPUNIT_ASSERT(!last.is_evacuated(here));
+    }
+
     // Guards against a request that ended before the restore and returns with
     // a peer that has noticed neither.
     void a_peer_from_before_the_restore_changes_nothing() {
