Cold hosts: those that an entry does not follow get room again

The count of openings since the last report, and a returned opening, were reset by reports only. A process that an entry does not follow sends none, so its cold host had no room for ever once the first room was used or one opening was returned. Such hosts are used exactly when the followed ones have no room.

Both now expire after one interval of reports if the process is not followed.

--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -112,6 +112,9 @@
         /// has returned an opening packet since; for the room of a cold host.
         std::uint32_t openings_since = 0;
         bool returned_since = false;
+        /// Since when both count if the process is not followed: they expire
+        /// after one interval of reports, since none arrive.
+        time_point openings_from;
     };
 
     explicit host_peers(host_peer_options options = {}) : options_(options) {}
@@ -143,8 +146,9 @@
     void on_placed(machine_address machine, time_point now);
     void on_answered(machine_address machine);
     /// @brief The process has returned an opening packet. A cold host then
-    /// counts as without room until its next report.
-    void on_returned(machine_address machine);
+    /// counts as without room until its next report, or for the interval of
+    /// reports if it is not followed.
+    void on_returned(machine_address machine, time_point now);
     void on_unanswered(machine_address machine, time_point now);
     /// @brief Restarts the timeouts of all peers after this process was
     /// suspended.
@@ -183,6 +187,8 @@
 
     void forget_departed(time_point now);
     void follow(peer& it, bool followed, time_point now);
+    bool has_expired_openings(const peer& it, time_point now) const;
+    void expire_openings(peer& it, time_point now) const;
     std::size_t remote_count(const service_hosts& it) const;
     void choose_remote(const service_hosts& here,
                        std::unordered_set<machine_address>& chosen) const;
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -150,7 +150,7 @@
             .flow = packet->flow,
             .machine = from});
     if (packet->is_opening() && returned.reason == return_reason::host_refused)
-        peers_.on_returned(from);
+        peers_.on_returned(from, now);
     if (directory_.find_route(packet->flow.service) == nullptr) {
         on_unrouted(*packet, false, now);
         return;
--- a/packages/core/src/relay/host_candidates.cpp
+++ b/packages/core/src/relay/host_candidates.cpp
@@ -96,7 +96,7 @@
     if (process.has_reported && process.report.work &&
         process.report.work->opening_room != host_work::unlimited_room)
         room = process.report.work->opening_room;
-    if (room == candidate::unlimited_room)
+    if (room == candidate::unlimited_room || has_expired_openings(process, now))
         return room;
     return process.returned_since
                ? 0
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -293,13 +293,30 @@
     const auto it = peers_.find(machine);
     if (it == peers_.end())
         return;
+    expire_openings(it->second, now);
     it->second.placed.add(now);
     ++it->second.openings_since;
 }
 
-void host_peers::on_returned(machine_address machine) {
-    if (const auto it = peers_.find(machine); it != peers_.end())
-        it->second.returned_since = true;
+void host_peers::on_returned(machine_address machine, time_point now) {
+    const auto it = peers_.find(machine);
+    if (it == peers_.end())
+        return;
+    expire_openings(it->second, now);
+    it->second.returned_since = true;
+}
+
+// Nobody reports to this entry for a process that is not followed.
+bool host_peers::has_expired_openings(const peer& it, time_point now) const {
+    return !it.followed && now - it.openings_from >= interval(it);
+}
+
+void host_peers::expire_openings(peer& it, time_point now) const {
+    if (!has_expired_openings(it, now))
+        return;
+    it.openings_since = 0;
+    it.returned_since = false;
+    it.openings_from = now;
 }
 
 void host_peers::on_answered(machine_address machine) {
--- a/packages/core/src/relay/host_peers_test.cpp
+++ b/packages/core/src/relay/host_peers_test.cpp
@@ -1,4 +1,5 @@
-// Checks which placements count as work until a host's report includes them.
+// Checks which placements count as work until a host's report includes them,
+// and the room of cold hosts that do not report to this entry.
 
 #include <arbutusport/relay/host_peers.hpp>
 
@@ -9,9 +10,62 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 constexpr machine_address host{7};
-constexpr time_point start{std::chrono::seconds(10)};
+constexpr time_point start{seconds(10)};
+const service_id service = service_id_of("acervo");
+constexpr machine_address near_host{8};
+constexpr machine_address remote_host{9};
+constexpr double rate = 10;
+// Interval at which a process elsewhere would report, and what a cold host
+// bears in it.
+constexpr duration remote_interval = milliseconds(800);
+constexpr std::uint32_t remote_room = 8;
+
+host_record cold_record(std::uint64_t key, machine_address machine,
+                        std::uint64_t data_centre) {
+    return {.key = host_key(key),
+            .service = service,
+            .address = {machine.value(), 8080},
+            .data_centre = data_centre_id(data_centre),
+            .slots = 2,
+            .warmup_left = seconds(20)};
+}
+
+// Two cold hosts: the near one has no room left, the remote one is not
+// followed.
+struct cold_hosts {
+    directory known;
+    host_peers peers{{.data_centre = data_centre_id(1),
+                      .remote_hosts = 0,
+                      .limits_cold_hosts = true}};
+
+    cold_hosts() {
+        known.adopt_listing(
+            revision(5),
+            {{revision(2),
+              routing_document{
+                  .version = 1,
+                  .warmup_limits = {{service, seconds(20), rate}}}},
+             {revision(3), cold_record(1, near_host, 1)},
+             {revision(4), cold_record(2, remote_host, 2)}},
+            start);
+        peers.update_from_directory(known, start);
+        peers.on_report(near_host,
+                        {.service = make_service_tag(service),
+                         .work = host_work{.opening_room = 0}},
+                        start);
+    }
+
+    std::uint32_t remote_room_at(time_point now) const {
+        for (const candidate& it : peers.candidates(known, service, now))
+            if (it.machine == remote_host)
+                return it.opening_room;
+        CPPUNIT_FAIL("the remote host is no candidate");
+        return 0;
+    }
+};
 
 } // namespace
 
@@ -19,6 +73,8 @@
     CPPUNIT_TEST_SUITE(host_peers_test);
     CPPUNIT_TEST(a_placement_counts_until_a_report_can_include_it);
     CPPUNIT_TEST(flows_placed_by_other_entries_count);
+    CPPUNIT_TEST(a_cold_host_that_is_not_followed_gets_room_again);
+    CPPUNIT_TEST(a_return_by_a_process_that_is_not_followed_expires);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -49,6 +105,38 @@
         CPPUNIT_ASSERT_EQUAL(0U, peers.find(host)->opened.value());
     }
 
+    // Guards against a host that takes flows only until its first room is used
+    // up, since nobody reports its room.
+    void a_cold_host_that_is_not_followed_gets_room_again() {
+        cold_hosts it;
+        CPPUNIT_ASSERT(!it.peers.find(remote_host)->followed);
+        CPPUNIT_ASSERT_EQUAL(remote_room, it.remote_room_at(start));
+        for (std::uint32_t i = 0; i < remote_room; ++i)
+            it.peers.on_placed(remote_host, start + milliseconds(100));
+        const auto before =
+            start + milliseconds(100) + remote_interval - duration(1);
+        CPPUNIT_ASSERT_EQUAL(0U, it.remote_room_at(before));
+        const auto after = before + duration(1);
+        CPPUNIT_ASSERT_EQUAL(remote_room, it.remote_room_at(after));
+        // Placements of the new interval count alone.
+        it.peers.on_placed(remote_host, after);
+        CPPUNIT_ASSERT_EQUAL(remote_room - 1, it.remote_room_at(after));
+        // A followed process reports; its room does not change by itself.
+        CPPUNIT_ASSERT_EQUAL(
+            0U, it.peers.candidates(it.known, service, start + seconds(1))[0]
+                    .opening_room);
+    }
+
+    void a_return_by_a_process_that_is_not_followed_expires() {
+        cold_hosts it;
+        it.peers.on_returned(remote_host, start);
+        CPPUNIT_ASSERT_EQUAL(0U, it.remote_room_at(start));
+        const auto later = start + remote_interval;
+        CPPUNIT_ASSERT_EQUAL(remote_room, it.remote_room_at(later));
+        it.peers.on_placed(remote_host, later);
+        CPPUNIT_ASSERT_EQUAL(remote_room - 1, it.remote_room_at(later));
+    }
+
 private:
     static host_peers followed() {
         host_peers out;
