Cold hosts: a host that boots under its old key gets a hello at once

An entry sends a hello with the limit at once when a cold host registers, but compared the registration's key only. A host that boots again under the same key waited for the next regular hello.

The registration is compared with its start time.

a_host_that_boots_under_its_key_gets_a_hello_at_once was seen failing before the change.

--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -18,6 +18,7 @@
 #include <span>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace arbutusport::relay {
@@ -106,8 +107,9 @@
         /// The process has sent its flows to this entry process.
         bool sent_flows = false;
         hello_choice hellos;
-        /// Registration of the host, to notice a host that has started anew.
-        host_key registered_as;
+        /// Registration and start of the host, to notice one that has started
+        /// anew. It may keep its key.
+        std::pair<host_key, unix_milliseconds> registered_as;
         /// Flows placed there since the last report, and whether the process
         /// has returned an opening packet since; for the room of a cold host.
         std::uint32_t openings_since = 0;
--- a/packages/core/src/relay/cold_placement_test.cpp
+++ b/packages/core/src/relay/cold_placement_test.cpp
@@ -155,6 +155,7 @@
     CPPUNIT_TEST(a_directive_states_what_a_cold_host_bears);
     CPPUNIT_TEST(a_directive_states_an_evacuation_and_its_end);
     CPPUNIT_TEST(a_cold_host_gets_a_hello_at_once);
+    CPPUNIT_TEST(a_host_that_boots_under_its_key_gets_a_hello_at_once);
     CPPUNIT_TEST(a_process_of_an_unknown_build_gets_both_hellos);
     CPPUNIT_TEST(flows_are_placed_within_the_room);
     CPPUNIT_TEST(a_warm_host_gets_what_the_cold_one_does_not_bear);
@@ -218,6 +219,23 @@
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{2}, hellos[0].slots);
     }
 
+    // Guards against a boot that is noticed only by the key, which the host
+    // may keep.
+    void a_host_that_boots_under_its_key_gets_a_hello_at_once() {
+        fixture it;
+        it.messages.clear();
+        auto again = record(1, cold_machine, warmup);
+        again.started = unix_milliseconds(1'700'000'000'000);
+        it.entry.on_changes(revision(6), {{revision(6), again}},
+                            start + milliseconds(1));
+        CPPUNIT_ASSERT(!it.hellos_to(cold_machine).empty());
+        // The host repeats its registration.
+        it.messages.clear();
+        it.entry.on_changes(revision(7), {{revision(7), again}},
+                            start + milliseconds(2));
+        CPPUNIT_ASSERT(it.hellos_to(cold_machine).empty());
+    }
+
     void a_process_of_an_unknown_build_gets_both_hellos() {
         fixture it;
         const auto first = it.hellos_to(cold_machine);
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -77,7 +77,8 @@
             it.record.draining)
             one.hello_at = {};
         // Its process limits the opening packets of a cold host.
-        if (std::exchange(one.registered_as, key) != key &&
+        const std::pair registration(key, it.record.started);
+        if (std::exchange(one.registered_as, registration) != registration &&
             options_.limits_cold_hosts && it.record.warmup_left > duration())
             one.hello_at = {};
     }
