Evacuations: a table that arrives before the directory is kept whole

While an entry knows no hosts, every data centre counted as one without hosts, so a peer's table was cut to 32 names. The entry then passed the rest on as complete, which ends the missing requests elsewhere.

No name is refused before the directory is known. The table is bounded by that of the peer.

a_table_before_the_directory_is_kept_whole was seen failing before the change. After it: entry_evacuation_test 12 passed.

--- a/packages/core/src/relay/entry_evacuation_test.cpp
+++ b/packages/core/src/relay/entry_evacuation_test.cpp
@@ -163,6 +163,7 @@
     CPPUNIT_TEST(a_returned_opening_stays_out_of_the_data_centre);
     CPPUNIT_TEST(a_refusal_names_the_evacuation);
     CPPUNIT_TEST(a_refused_request_counts_when_its_hosts_come);
+    CPPUNIT_TEST(a_table_before_the_directory_is_kept_whole);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -363,6 +364,21 @@
         it.list(12, items);
         CPPUNIT_ASSERT(it.entry.evacuations().is_evacuated(later));
     }
+
+    // Guards against a table that is cut to the names without hosts while no
+    // host is known, and then counts as complete.
+    void a_table_before_the_directory_is_kept_whole() {
+        fixture it;
+        operator_intent table{.as_of = revision(900)};
+        for (std::uint64_t i = 0; i < evacuation_table::max_without_hosts; ++i)
+            table.evacuations.push_back(
+                {data_centre_id(100 + i), revision(10 + i)});
+        table.evacuations.push_back({here, revision(800)});
+        it.entry.on_message(peer, table, start);
+        it.receive_directory(5);
+        CPPUNIT_ASSERT(it.entry.evacuations().is_evacuated(here));
+        CPPUNIT_ASSERT(!it.entry.evacuations().has_refused());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(entry_evacuation_test);
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -24,7 +24,11 @@
 entry_relay::entry_relay(entry_relay_options options, entry_relay_hooks hooks)
     : options_(std::move(options)), hooks_(std::move(hooks)),
       directory_(options_.directory),
-      evacuations_([this](data_centre_id it) { return has_hosts(it); }),
+      // No name is refused before the hosts are known: the table counts as
+      // complete, and a refused request would be lacking for good.
+      evacuations_([this](data_centre_id it) {
+          return !directory_.is_ready() || has_hosts(it);
+      }),
       peers_(make_peer_options(options_, evacuations_)),
       entries_(
           {.run = options_.run,
