Host process: a returned opening keeps the older flow of its port

A client that uses its port again sends an opening packet with another sequence number. The host process forgot the older flow before it decided whether to deliver the packet, so a returned one ended a flow although the host never saw it; its later packets had to be searched.

The older flow is forgotten when the packet is delivered.

a_returned_opening_keeps_the_flow_of_its_port was seen failing before the change. After it: host_opening_test 10 passed.

--- a/packages/core/src/relay/host_opening_test.cpp
+++ b/packages/core/src/relay/host_opening_test.cpp
@@ -102,6 +102,7 @@
     CPPUNIT_TEST(copies_of_an_admitted_opening_do_not_count);
     CPPUNIT_TEST(a_returned_opening_is_decided_anew);
     CPPUNIT_TEST(a_port_that_is_used_again_counts);
+    CPPUNIT_TEST(a_returned_opening_keeps_the_flow_of_its_port);
     CPPUNIT_TEST(an_evacuated_host_keeps_its_flows);
     CPPUNIT_TEST(work_is_reported_only_to_entries_that_want_it);
     CPPUNIT_TEST(the_reported_room_is_divided_among_the_entries);
@@ -170,6 +171,31 @@
                              std::size_t{it.relay.gate().room(settled)});
     }
 
+    // Guards against an open flow that is forgotten, although its host never
+    // sees the opening packet that used its port again.
+    void a_returned_opening_keeps_the_flow_of_its_port() {
+        fixture it;
+        it.open(1);
+        it.host_accepts(1);
+        it.relay.on_message(first_entry, evacuation_hello(20, true), settled);
+        it.open(1, client_start + 1'000'000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.returned.size());
+        const auto delivered = it.delivered;
+        segment data;
+        data.flow = flow_of(1);
+        data.ack = true;
+        data.sequence = client_start + 1;
+        data.acknowledged = 78;
+        data.payload_bytes = 10;
+        data.mark = make_placement_mark(service);
+        it.relay.on_entry(first_entry, data, settled);
+        CPPUNIT_ASSERT_EQUAL(delivered + 1, it.delivered);
+        // The process still counts the flow and sends no opening of it again.
+        it.open(1);
+        CPPUNIT_ASSERT_EQUAL(delivered + 2, it.delivered);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.returned.size());
+    }
+
     // Guards against the end of open flows in an evacuation, and against new
     // ones from an entry that lags.
     void an_evacuated_host_keeps_its_flows() {
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -72,9 +72,6 @@
 
 void host_relay::on_opening(machine_address from, const segment& packet,
                             time_point now) {
-    const auto known = flows_.find(packet.flow);
-    if (known != flows_.end() && known->second.client_start != packet.sequence)
-        erase(packet.flow, now);
     if (!is_copy_of_admitted(packet)) {
         const opening_verdict verdict = gate_.admit(now);
         if (verdict != opening_verdict::deliver) {
@@ -84,6 +81,11 @@
             return;
         }
     }
+    // The client has used its port again. A returned packet changes nothing,
+    // since the host does not see it.
+    const auto known = flows_.find(packet.flow);
+    if (known != flows_.end() && known->second.client_start != packet.sequence)
+        erase(packet.flow, now);
     // The host's answer is announced to the entries of the data centre that
     // `from` belongs to.
     if (pending_deliveries_.size() < options_.max_pending_deliveries)
