Tests of evacuations count what entries send

The tests counted the openings that reached hosts. Since host processes return those of an evacuated data centre, an entry that lags did not show. They count opening packets at the sender now, before losses.

A new test covers an entry of the previous build: it sends to the evacuated data centre, nothing is delivered there, and its flows open elsewhere.

--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -167,6 +167,9 @@
     std::uint64_t bytes_sent_by_entries() const { return entry_bytes_; }
     std::uint64_t resets() const { return resets_; }
     std::uint64_t flows_placed_at(std::size_t host) const;
+    /// @brief Number of opening packets that entries have sent to the host's
+    /// process, copies, lost and returned ones included.
+    std::uint64_t openings_sent_to(std::size_t host) const;
     /// @brief When the host received the first opening packet of each of its
     /// flows, in ascending order.
     const std::vector<duration>& openings_at(std::size_t host) const;
--- a/packages/testing/src/emulator/relay_evacuation_test.cpp
+++ b/packages/testing/src/emulator/relay_evacuation_test.cpp
@@ -26,8 +26,18 @@
             .expects_evacuations = true};
 }
 
-// Number of flows that were placed in the data centre.
+// Number of opening packets that entries have sent to hosts of the data centre.
+// Those that arrive do not show an entry that lags, since host processes return
+// its packets.
 std::uint64_t placed_in(const relay_world& world, std::size_t data_centre) {
+    std::uint64_t out = 0;
+    for (std::size_t host = data_centre; host < 6; host += 2)
+        out += world.openings_sent_to(host);
+    return out;
+}
+
+// Number of flows whose opening packet reached a host of the data centre.
+std::uint64_t delivered_in(const relay_world& world, std::size_t data_centre) {
     std::uint64_t out = 0;
     for (std::size_t host = data_centre; host < 6; host += 2)
         out += world.flows_placed_at(host);
@@ -82,6 +92,7 @@
     CPPUNIT_TEST(flows_are_refused_when_no_data_centre_is_left);
     CPPUNIT_TEST(more_hosts_elsewhere_are_followed);
     CPPUNIT_TEST(an_entry_of_the_previous_build_disturbs_nobody);
+    CPPUNIT_TEST(host_processes_return_what_the_previous_build_places);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -419,6 +430,26 @@
         for (std::size_t i = 1; i < 8; ++i)
             CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, place_through(world, i, 0));
     }
+
+    // Guards against flows that reach an evacuated data centre, or that open
+    // nowhere, through an entry that knows no evacuations.
+    void host_processes_return_what_the_previous_build_places() {
+        relay_world world(two_data_centres());
+        world.disregard_eras(0);
+        world.run_until(startup_time);
+        world.evacuate(0);
+        world.run_for(evacuation_limit);
+        const auto sent = placed_in(world, 0);
+        const auto delivered = delivered_in(world, 0);
+        std::vector<std::size_t> flows;
+        for (int i = 0; i < 20; ++i)
+            flows.push_back(world.open_flow(0));
+        world.run_for(milliseconds(500));
+        CPPUNIT_ASSERT(placed_in(world, 0) > sent);
+        CPPUNIT_ASSERT_EQUAL(delivered, delivered_in(world, 0));
+        for (const auto it : flows)
+            CPPUNIT_ASSERT(world.is_open(it));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(relay_evacuation_test);
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -205,6 +205,8 @@
 void relay_world::send_to_host(machine_address from, machine_address to,
                                relay::routing_mark mark, byte_view data) {
     const std::size_t host = to.value() - first_host_address;
+    if (host < hosts_.size() && decode(data).is_opening())
+        ++hosts_[host]->openings_sent;
     const auto delay = next_transfer_delay();
     if (!delay || is_isolated(from) || host >= hosts_.size())
         return;
--- a/packages/testing/src/emulator/relay_world_faults.cpp
+++ b/packages/testing/src/emulator/relay_world_faults.cpp
@@ -260,6 +260,10 @@
     return hosts_[host]->placed;
 }
 
+std::uint64_t relay_world::openings_sent_to(std::size_t host) const {
+    return hosts_[host]->openings_sent;
+}
+
 const std::vector<duration>& relay_world::openings_at(std::size_t host) const {
     return hosts_[host]->opened_at;
 }
--- a/packages/testing/src/emulator/relay_world_state.hpp
+++ b/packages/testing/src/emulator/relay_world_state.hpp
@@ -96,6 +96,7 @@
     bool silent = false;
     duration booted_at{};
     std::uint64_t placed = 0;
+    std::uint64_t openings_sent = 0;
     std::vector<duration> opened_at;
     // First sequence number by flow.
     std::map<flow_key, std::uint32_t> flows;
