--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -77,7 +77,8 @@
             it.record.draining)
             one.hello_at = {};
         // Its process limits the opening packets of a cold host.
-        if (std::exchange(one.registered_as, key) != key &&
+        const std::pair registration(key, it.record.started);
+        if (std::exchange(one.registered_as, registration) != registration &&
             options_.limits_cold_hosts && it.record.warmup_left > duration())
             one.hello_at = {};
     }
@@ -293,13 +294,30 @@
     const auto it = peers_.find(machine);
     if (it == peers_.end())
         return;
+    expire_openings(it->second, now);
     it->second.placed.add(now);
     ++it->second.openings_since;
 }
 
-void host_peers::on_returned(machine_address machine) {
-    if (const auto it = peers_.find(machine); it != peers_.end())
-        it->second.returned_since = true;
+void host_peers::on_returned(machine_address machine, time_point now) {
+    const auto it = peers_.find(machine);
+    if (it == peers_.end())
+        return;
+    expire_openings(it->second, now);
+    it->second.returned_since = true;
+}
+
+// Nobody reports to this entry for a process that is not followed.
+bool host_peers::has_expired_openings(const peer& it, time_point now) const {
+    return !it.followed && now - it.openings_from >= interval(it);
+}
+
+void host_peers::expire_openings(peer& it, time_point now) const {
+    if (!has_expired_openings(it, now))
+        return;
+    it.openings_since = 0;
+    it.returned_since = false;
+    it.openings_from = now;
 }
 
 void host_peers::on_answered(machine_address machine) {
