Keep a request after the host's FIN until its answer arrives

Cause: since the host's FIN ended the flow's request without a sample. Where the FIN overtakes the answer's first data, nothing was learned of services with a flow for each request, and requests that seemed to hold all slots were not cleaned up.

Change: the FIN is noted with its time.

Data on the packet with the FIN was measured before the FIN already; so was an upload of 70 packets, with and without a missing packet. Both have tests now.

--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -39,6 +39,10 @@
     duration pending_delivery_timeout = std::chrono::seconds(4);
     /// A closed flow is kept this long for late packets.
     duration closed_flow_retention = std::chrono::seconds(3);
+    /// A request that the host has not answered this long after its FIN is
+    /// taken for broken off. Packets overtake each other by less, and the host
+    /// repeats a lost one after 200 ms and 400 ms.
+    duration closed_request_timeout = std::chrono::seconds(1);
     /// A registration that has not been repeated by any entry for this long
     /// counts as unknown; hellos arrive every 400 ms.
     duration registration_timeout = std::chrono::milliseconds(1500);
@@ -113,6 +117,8 @@
         bool established_by_host = false;
         bool client_closed = false;
         bool host_closed = false;
+        // When the host's first FIN arrived; meaningful if `host_closed`.
+        time_point host_closed_at;
         // End of the data that each end has sent so far, to tell new data from
         // repetitions. Repeated client data may have been lost before, and
         // counts as new, if the process has not seen all earlier data.
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -126,9 +126,11 @@
         return;
     last_sweep_at_ = now;
     work_.expire(now);
-    update_load(now);
     std::vector<flow_key> ended;
     for (const auto& [flow, it] : flows_) {
+        if (it.host_closed &&
+            now - it.host_closed_at >= options_.closed_request_timeout)
+            work_.on_flow_end(flow, now);
         const duration silent = now - it.used_at;
         const bool closed = it.client_closed && it.host_closed;
         if ((closed && silent > options_.closed_flow_retention) ||
@@ -138,6 +140,7 @@
     }
     for (const flow_key& flow : ended)
         erase(flow, now);
+    update_load(now);
     std::erase_if(entries_, [&](const auto& it) {
         return now - it.second.heard_at > options_.entry_timeout;
     });
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -2,6 +2,8 @@
 
 #include <arbutusport/relay/host_relay.hpp>
 
+#include <utility>
+
 namespace arbutusport::relay {
 
 namespace {
@@ -175,12 +177,9 @@
         flow.used_at = now;
         flow.established_by_host = true;
         measure_host_data(flow, packet, now);
-        if (packet.fin) {
-            flow.host_closed = true;
-            // Answers nothing after this.
-            work_.on_flow_end(packet.flow, now);
-            update_load(now);
-        }
+        // The FIN may overtake the answer, so it does not end the request yet.
+        if (packet.fin && !std::exchange(flow.host_closed, true))
+            flow.host_closed_at = now;
     }
     hooks_.to_client(packet.flow, packet.datagram);
 }
--- a/packages/core/src/relay/host_work_test.cpp
+++ b/packages/core/src/relay/host_work_test.cpp
@@ -85,12 +85,24 @@
             on_flow(flow, from_host(host_start + 1 + position, size)), now);
     }
 
-    void close_by_host(time_point now) {
-        segment it = from_host(host_start + 1, 0);
+    void close_by_host(time_point now, std::uint32_t position = 0,
+                       std::uint16_t size = 0, std::uint32_t acknowledged = 0) {
+        segment it = from_host(host_start + 1 + position, size);
+        it.acknowledged = client_start + 1 + acknowledged;
         it.fin = true;
         relay_.on_host(it, now);
     }
 
+    // An acknowledgement without data.
+    void acknowledge(std::uint32_t acknowledged, time_point now) {
+        answer(0, 0, now, acknowledged);
+    }
+
+    void run_ticks(time_point from, time_point to) {
+        for (time_point now = from; now <= to; now += milliseconds(50))
+            relay_.on_tick(now);
+    }
+
     void reset(time_point now) {
         segment it = from_client(client_start + 1, 0);
         it.rst = true;
@@ -162,6 +174,9 @@
     CPPUNIT_TEST(only_entries_that_ask_receive_work);
     CPPUNIT_TEST(a_reset_flow_leaves_no_work);
     CPPUNIT_TEST(a_flow_that_the_host_closed_leaves_no_work);
+    CPPUNIT_TEST(a_host_that_closes_before_its_answer_arrives_is_measured);
+    CPPUNIT_TEST(an_answer_with_fin_is_measured);
+    CPPUNIT_TEST(a_long_upload_is_measured);
     CPPUNIT_TEST(a_late_copy_of_an_answered_request_is_not_outstanding);
     CPPUNIT_TEST(an_abandoned_request_is_not_outstanding_for_long);
     CPPUNIT_TEST_SUITE_END();
@@ -281,8 +296,59 @@
         one_flow it;
         it.send(0, 100, start);
         it.close_by_host(start + milliseconds(10));
+        it.run_ticks(start + milliseconds(50), start + milliseconds(2100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.relay().work().requests());
+        CPPUNIT_ASSERT(it.reported(current_entry, start + milliseconds(2100)));
+        CPPUNIT_ASSERT_EQUAL(0U, it.reports().at(current_entry).outstanding);
+    }
+
+    // Guards against services with a flow for each request that learn nothing:
+    // the host's packets may overtake each other, and the FIN carries no data.
+    void a_host_that_closes_before_its_answer_arrives_is_measured() {
+        one_flow it;
+        it.send(0, 100, start);
+        it.close_by_host(start + milliseconds(30), 200, 0, 100);
+        it.run_ticks(start + milliseconds(30), start + milliseconds(30));
+        it.answer(0, 200, start + milliseconds(31), 100);
+        it.expect_service(milliseconds(31), start + milliseconds(31));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.relay().work().requests());
+    }
+
+    void an_answer_with_fin_is_measured() {
+        one_flow it;
+        it.send(0, 100, start);
+        it.close_by_host(start + milliseconds(30), 0, 200, 100);
+        it.expect_service(milliseconds(30), start + milliseconds(30));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.relay().work().requests());
     }
+
+    // Guards against uploads without a sample. The client sends 16 packets in a
+    // round trip, and the host acknowledges every second one. The process has
+    // missed some of them: another entry's copy arrives late.
+    void a_long_upload_is_measured() {
+        constexpr std::uint32_t packets = 70;
+        constexpr std::uint16_t size = 1200;
+        for (const std::uint32_t missing : {packets, 0U, 7U, 20U, 40U, 68U}) {
+            one_flow it;
+            time_point now = start;
+            for (std::uint32_t n = 0; n < packets; ++n) {
+                if (n % 16 == 0)
+                    now += milliseconds(8);
+                if (n != missing)
+                    it.send(n * size, size, now);
+                if (n % 2 != 0)
+                    it.acknowledge((n < missing ? n + 1 : missing) * size, now);
+            }
+            if (missing < packets) {
+                now += milliseconds(200);
+                it.send(missing * size, size, now);
+                it.acknowledge(packets * size, now);
+            }
+            now += milliseconds(5);
+            it.close_by_host(now, 0, 300, packets * size);
+            it.expect_service(milliseconds(5), now);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(host_work_test);
