Estimate the work left at hosts that have no sample yet

Cause: a report without a service time has a backlog of 0, which means unknown. The estimate took it for no work left, so a host whose process had just started attracted all flows.

Change: without a service time the work left is that of the host's requests, the mean or the current number, whichever is higher, at the usual service time. Hosts that report no work or reject their requests are treated alike.

--- a/packages/core/src/relay/expected_completion.cpp
+++ b/packages/core/src/relay/expected_completion.cpp
@@ -115,9 +115,12 @@
     const double slots = std::max<double>(it.slots, 1);
     const double idle = 1 - std::min(it.busy / slots, 1.0);
     const double age = std::chrono::duration<double>(it.report_age).count();
-    const double reported = it.work && !is_implausible(it)
-                                ? seconds(it.work->backlog_us)
-                                : requests_of(it) * service_s / slots;
+    // Without samples the reported backlog is 0, which means unknown.
+    const double reported =
+        is_measured(it) && !is_implausible(it)
+            ? seconds(it.work->backlog_us)
+            : std::max<double>(requests_of(it), it.outstanding) * service_s /
+                  slots;
     const double placed =
         (it.placed_since + it.opened_since) * service_s / slots;
     return std::max(reported - age * idle, 0.0) + placed;
--- a/packages/core/src/relay/placement_test.cpp
+++ b/packages/core/src/relay/placement_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(load_meter_follows_requests);
     CPPUNIT_TEST(without_measurement_requests_and_flows_decide);
     CPPUNIT_TEST(the_host_that_is_done_first_is_chosen);
+    CPPUNIT_TEST(a_host_without_samples_is_not_idle);
     CPPUNIT_TEST(flows_follow_the_speed_of_hosts);
     CPPUNIT_TEST(small_differences_of_speed_do_not_count);
     CPPUNIT_TEST_SUITE_END();
@@ -270,6 +271,30 @@
         CPPUNIT_ASSERT_EQUAL(1U, chosen(hosts));
     }
 
+    // Guards against a host that attracts all flows because its work left is
+    // unknown: its process has just started and has no sample yet.
+    void a_host_without_samples_is_not_idle() {
+        auto hosts = measured({10'000, 10'000, 0});
+        hosts[2].outstanding = 8;
+        for (int i = 0; i < 2; ++i) {
+            hosts[i].busy = hosts[i].outstanding = 2;
+            hosts[i].work->backlog_us = 18'000;
+        }
+        CPPUNIT_ASSERT(chosen(hosts) != 3);
+        // The same with fewer requests, none of which waits.
+        hosts[2].busy = 0.5;
+        hosts[2].outstanding = 2;
+        for (int i = 0; i < 2; ++i) {
+            hosts[i].busy = 0.5;
+            hosts[i].outstanding = 1;
+            hosts[i].work->backlog_us = 5'000;
+        }
+        CPPUNIT_ASSERT(chosen(hosts) != 3);
+        // It is not avoided either.
+        hosts[2].outstanding = 0;
+        CPPUNIT_ASSERT_EQUAL(3U, chosen(hosts));
+    }
+
     // Guards against equal numbers of long flows at unequal hosts.
     void flows_follow_the_speed_of_hosts() {
         auto hosts = measured({10'000, 10'000, 20'000});
