Count placements in full before hosts are measured

After a restart of all processes every entry chose the same hosts between two reports.

Change: at hosts that report work, each flow placed or opened since the report counts as one request, also before the first sample. A single measured host counts in the same way, so that it does not attract all flows.

--- a/packages/core/include/arbutusport/relay/expected_completion.hpp
+++ b/packages/core/include/arbutusport/relay/expected_completion.hpp
@@ -33,6 +33,7 @@
     bool is_implausible(const candidate& it) const;
     double requests_of(const candidate& it) const;
     double speed_of(const candidate& it) const;
+    double placed_requests(const candidate& it) const;
     double work_left_s(const candidate& it, double service_s) const;
 
     const placement_options& options_;
--- a/packages/core/src/relay/expected_completion.cpp
+++ b/packages/core/src/relay/expected_completion.cpp
@@ -126,6 +126,13 @@
     return std::max(reported - age * idle, 0.0) + placed;
 }
 
+// Requests of the flows placed since the report. Hosts of earlier builds report
+// no work, and their flows count by their share of requests, as before.
+double completion_estimator::placed_requests(const candidate& it) const {
+    return it.work ? it.placed_since + it.opened_since
+                   : flow_load_ * it.placed_since;
+}
+
 completion_estimate completion_estimator::estimate(const candidate& it) const {
     const double slots = std::max<double>(it.slots, 1);
     const double penalties = (it.local ? 0 : options_.remote_penalty) +
@@ -133,8 +140,8 @@
     if (usual_service_s_ <= 0) {
         // Half of the weight is on the number of flows, because flows that are
         // idle now send requests to the host later.
-        const double requests = 0.5 * it.busy + 0.5 * flow_load_ * it.flows +
-                                flow_load_ * it.placed_since;
+        const double requests =
+            0.5 * it.busy + 0.5 * flow_load_ * it.flows + placed_requests(it);
         const double factor = it.warming_up ? options_.warmup_factor : 1;
         return {.load =
                     factor * (requests + 0.5 * waiting_requests(it)) / slots +
