--- a/packages/core/src/relay/expected_completion.cpp
+++ b/packages/core/src/relay/expected_completion.cpp
@@ -115,14 +115,24 @@
     const double slots = std::max<double>(it.slots, 1);
     const double idle = 1 - std::min(it.busy / slots, 1.0);
     const double age = std::chrono::duration<double>(it.report_age).count();
-    const double reported = it.work && !is_implausible(it)
-                                ? seconds(it.work->backlog_us)
-                                : requests_of(it) * service_s / slots;
+    // Without samples the reported backlog is 0, which means unknown.
+    const double reported =
+        is_measured(it) && !is_implausible(it)
+            ? seconds(it.work->backlog_us)
+            : std::max<double>(requests_of(it), it.outstanding) * service_s /
+                  slots;
     const double placed =
         (it.placed_since + it.opened_since) * service_s / slots;
     return std::max(reported - age * idle, 0.0) + placed;
 }
 
+// Requests of the flows placed since the report. Hosts of earlier builds report
+// no work, and their flows count by their share of requests, as before.
+double completion_estimator::placed_requests(const candidate& it) const {
+    return it.work ? it.placed_since + it.opened_since
+                   : flow_load_ * it.placed_since;
+}
+
 completion_estimate completion_estimator::estimate(const candidate& it) const {
     const double slots = std::max<double>(it.slots, 1);
     const double penalties = (it.local ? 0 : options_.remote_penalty) +
@@ -130,8 +140,8 @@
     if (usual_service_s_ <= 0) {
         // Half of the weight is on the number of flows, because flows that are
         // idle now send requests to the host later.
-        const double requests = 0.5 * it.busy + 0.5 * flow_load_ * it.flows +
-                                flow_load_ * it.placed_since;
+        const double requests =
+            0.5 * it.busy + 0.5 * flow_load_ * it.flows + placed_requests(it);
         const double factor = it.warming_up ? options_.warmup_factor : 1;
         return {.load =
                     factor * (requests + 0.5 * waiting_requests(it)) / slots +
