--- a/packages/core/include/arbutusport/relay/expected_completion.hpp
+++ b/packages/core/include/arbutusport/relay/expected_completion.hpp
@@ -34,6 +34,7 @@
     double requests_of(const candidate& it) const;
     double speed_of(const candidate& it) const;
     double placed_requests(const candidate& it) const;
+    double distance(const candidate& it, double slots) const;
     double work_left_s(const candidate& it, double service_s) const;
 
     const placement_options& options_;
--- a/packages/core/src/relay/expected_completion.cpp
+++ b/packages/core/src/relay/expected_completion.cpp
@@ -133,10 +133,18 @@
                    : flow_load_ * it.placed_since;
 }
 
+// Where openings count as requests, one of them at a local host must not send
+// the next flow to another data centre.
+double completion_estimator::distance(const candidate& it, double slots) const {
+    if (it.local)
+        return 0;
+    return options_.remote_penalty + (it.work ? 1 / slots : 0);
+}
+
 completion_estimate completion_estimator::estimate(const candidate& it) const {
     const double slots = std::max<double>(it.slots, 1);
-    const double penalties = (it.local ? 0 : options_.remote_penalty) +
-                             options_.unanswered_penalty * it.unanswered;
+    const double penalties =
+        distance(it, slots) + options_.unanswered_penalty * it.unanswered;
     if (usual_service_s_ <= 0) {
         // Half of the weight is on the number of flows, because flows that are
         // idle now send requests to the host later.
--- a/packages/core/src/relay/placement_test.cpp
+++ b/packages/core/src/relay/placement_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(load_meter_follows_requests);
     CPPUNIT_TEST(without_measurement_requests_and_flows_decide);
     CPPUNIT_TEST(placements_count_in_full_until_hosts_are_measured);
+    CPPUNIT_TEST(one_opening_sends_no_flow_to_another_data_centre);
     CPPUNIT_TEST(the_host_that_is_done_first_is_chosen);
     CPPUNIT_TEST(a_host_without_samples_is_not_idle);
     CPPUNIT_TEST(flows_follow_the_speed_of_hosts);
@@ -253,7 +254,8 @@
                                          : flow_load * it.placed_since) +
                                 0.5 * waiting) /
                                2 +
-                           (it.local ? 0 : 0.25) + it.unanswered;
+                           (it.local ? 0 : 0.25 + (it.work ? 0.5 : 0)) +
+                           it.unanswered;
                 });
             CPPUNIT_ASSERT_EQUAL(best->machine.value(), chosen(hosts));
         }
@@ -276,6 +278,19 @@
         }
     }
 
+    // Guards against expensive traffic between data centres while the own
+    // hosts are nearly idle.
+    void one_opening_sends_no_flow_to_another_data_centre() {
+        for (const std::uint32_t service_us : {0U, 10'000U}) {
+            auto hosts = measured({service_us, service_us});
+            hosts[1].local = false;
+            hosts[0].opened_since = 1;
+            CPPUNIT_ASSERT_EQUAL(1U, chosen(hosts));
+            hosts[0].opened_since = 3;
+            CPPUNIT_ASSERT_EQUAL(2U, chosen(hosts));
+        }
+    }
+
     // Guards against counting a request of many times the usual work as one.
     void the_host_that_is_done_first_is_chosen() {
         auto hosts = measured({10'000, 10'000});
