--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -2,6 +2,8 @@
 
 #include <arbutusport/relay/host_relay.hpp>
 
+#include <utility>
+
 namespace arbutusport::relay {
 
 namespace {
@@ -72,9 +74,6 @@
 
 void host_relay::on_opening(machine_address from, const segment& packet,
                             time_point now) {
-    const auto known = flows_.find(packet.flow);
-    if (known != flows_.end() && known->second.client_start != packet.sequence)
-        erase(packet.flow, now);
     if (!is_copy_of_admitted(packet)) {
         const opening_verdict verdict = gate_.admit(now);
         if (verdict != opening_verdict::deliver) {
@@ -84,6 +83,11 @@
             return;
         }
     }
+    // The client has used its port again. A returned packet changes nothing,
+    // since the host does not see it.
+    const auto known = flows_.find(packet.flow);
+    if (known != flows_.end() && known->second.client_start != packet.sequence)
+        erase(packet.flow, now);
     // The host's answer is announced to the entries of the data centre that
     // `from` belongs to.
     if (pending_deliveries_.size() < options_.max_pending_deliveries)
@@ -175,12 +179,9 @@
         flow.used_at = now;
         flow.established_by_host = true;
         measure_host_data(flow, packet, now);
-        if (packet.fin) {
-            flow.host_closed = true;
-            // Answers nothing after this.
-            work_.on_flow_end(packet.flow, now);
-            update_load(now);
-        }
+        // The FIN may overtake the answer, so it does not end the request yet.
+        if (packet.fin && !std::exchange(flow.host_closed, true))
+            flow.host_closed_at = now;
     }
     hooks_.to_client(packet.flow, packet.datagram);
 }
