--- a/packages/testing/src/emulator/placement_trace.cpp
+++ b/packages/testing/src/emulator/relay_placement_trace.cpp
@@ -1,7 +1,7 @@
 // Hosts with slots and a short queue, entries with reports of some age.
 
 #include <arbutusport/base/hash.hpp>
-#include <arbutusport/emulator/placement_trace.hpp>
+#include <arbutusport/emulator/relay_placement_trace.hpp>
 
 #include <algorithm>
 #include <cmath>
--- a/packages/testing/src/emulator/placement_trace_test.cpp
+++ b/packages/testing/src/emulator/relay_placement_trace_test.cpp
@@ -3,7 +3,7 @@
 // inputs.
 
 #include <arbutusport/base/hash.hpp>
-#include <arbutusport/emulator/placement_trace.hpp>
+#include <arbutusport/emulator/relay_placement_trace.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
