--- a/packages/testing/src/emulator/relay_placement_trace_test.cpp
+++ b/packages/testing/src/emulator/relay_placement_trace_test.cpp
@@ -64,8 +64,8 @@
 
 } // namespace
 
-class placement_trace_test : public CppUnit::TestFixture {
-    CPPUNIT_TEST_SUITE(placement_trace_test);
+class relay_placement_trace_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(relay_placement_trace_test);
     CPPUNIT_TEST(more_requests_are_in_time_than_by_other_rules);
     CPPUNIT_TEST(lost_reports);
     CPPUNIT_TEST(entries_without_reports);
@@ -175,6 +175,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(placement_trace_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(relay_placement_trace_test);
 
 } // namespace arbutusport::emulator
