Cold hosts: the first boot beside a running process is limited

A host process that had never heard a rate let everything pass one second after its host started anew, if entries could not learn of the start (the store down).

The directive states the rate and the service's warm-up time also while the host is warm, for services with a limit only. The process keeps them and takes a host that starts anew as cold. This adds 8 bytes to a directive, and a directive to each hello of a service with a limit.

--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -50,6 +50,10 @@
     double openings_per_second = 0;
     /// How much longer the host is cold.
     duration cold_left{};
+    /// How long hosts of the service are cold after a start; 0: not known. It
+    /// and the rate are also stated for a warm host, which may start anew
+    /// beside its process while entries cannot learn of it.
+    duration warmup{};
 
     friend bool operator==(const host_directive&,
                            const host_directive&) = default;
--- a/packages/core/src/relay/host_directive.cpp
+++ b/packages/core/src/relay/host_directive.cpp
@@ -23,6 +23,7 @@
         out.cold_left = cold_left(host, now);
         if (limit != nullptr) {
             out.openings_per_second = limit->openings_per_second;
+            out.warmup = limit->warmup;
             // A host does not stay cold for longer than its service's time.
             if (limit->warmup > duration::zero())
                 out.cold_left = std::min(out.cold_left, limit->warmup);
@@ -30,11 +31,11 @@
             out.cold_left = duration::zero();
         }
     }
-    if (out.cold_left == duration::zero()) {
-        out.openings_per_second = 0;
-        if (!evacuations.was_evacuated(at))
-            return std::nullopt;
-    }
+    // The limit is also stated for a warm host, whose next start may be known
+    // to its process alone.
+    if (out.cold_left == duration::zero() && out.openings_per_second == 0 &&
+        !evacuations.was_evacuated(at))
+        return std::nullopt;
     return out;
 }
 
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -135,6 +135,7 @@
     put_flag(out, it.evacuated);
     put_rate(out, it.openings_per_second);
     put_duration(out, it.cold_left);
+    put_duration(out, it.warmup);
 }
 
 host_directive take_directive(byte_reader& in) {
@@ -143,6 +144,7 @@
     it.evacuated = take_flag(in);
     it.openings_per_second = take_rate(in);
     it.cold_left = take_duration(in);
+    it.warmup = take_duration(in);
     return it;
 }
 
--- a/packages/core/src/relay/opening_gate.cpp
+++ b/packages/core/src/relay/opening_gate.cpp
@@ -30,6 +30,12 @@
     const bool knows_host = it.host_started > previous_start_;
     const duration cold_left =
         it.directive ? it.directive->cold_left : duration::zero();
+    // Kept for a host that starts anew before entries know of it.
+    if (it.directive && it.directive->openings_per_second > 0) {
+        if (!is_cold(now))
+            rate_ = it.directive->openings_per_second;
+        warmup_ = std::max(warmup_, it.directive->warmup);
+    }
     // A rate of 0: the sender does not know the limits yet.
     if (cold_left > duration::zero()) {
         if (it.directive->openings_per_second > 0)
--- a/packages/core/src/relay/opening_gate_test.cpp
+++ b/packages/core/src/relay/opening_gate_test.cpp
@@ -87,6 +87,7 @@
     CPPUNIT_TEST(an_entry_that_lags_does_not_end_the_cold_time);
     CPPUNIT_TEST(the_lowest_rate_counts_while_it_is_repeated);
     CPPUNIT_TEST(a_host_that_boots_anew_is_cold_before_its_registration);
+    CPPUNIT_TEST(the_first_boot_beside_a_running_process_is_limited);
     CPPUNIT_TEST(a_new_registration_replaces_the_assumed_cold_time);
     CPPUNIT_TEST(entries_that_lag_do_not_warm_a_host_that_boots_anew);
     CPPUNIT_TEST(steps_of_the_wall_clock_have_no_effect);
@@ -273,6 +274,36 @@
                              admit_many(without_rate, 50, settled));
     }
 
+    // Guards against unlimited openings one second after the first boot of a
+    // host beside its process, while no entry can learn of the boot because the
+    // store is down.
+    void the_first_boot_beside_a_running_process_is_limited() {
+        const auto warm = make_hello(
+            host_directive{.openings_per_second = 10, .warmup = seconds(20)});
+        auto gate = settled_gate();
+        gate.on_hello(warm, settled);
+        CPPUNIT_ASSERT(!gate.is_cold(settled));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1000},
+                             admit_many(gate, 1000, settled));
+        const auto booted = settled + seconds(100);
+        gate.on_host_started(booted);
+        // Entries have the previous registration.
+        gate.on_hello(warm, booted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, admit_many(gate, 50, booted));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20},
+                             admit_many(gate, 50, booted + seconds(19)));
+        CPPUNIT_ASSERT(!gate.is_cold(booted + seconds(20)));
+        // The last rate stated for the warm host counts; a lagging entry does
+        // not raise it while the host is cold.
+        const auto again = settled + seconds(200);
+        gate.on_hello(make_hello(host_directive{.openings_per_second = 4,
+                                                .warmup = seconds(20)}),
+                      again);
+        gate.on_host_started(again);
+        gate.on_hello(warm, again);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{11}, admit_many(gate, 50, again));
+    }
+
     void a_new_registration_replaces_the_assumed_cold_time() {
         auto gate = settled_gate();
         gate.on_hello(cold_hello(10, seconds(20)), settled);
