--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -290,6 +290,8 @@
     // Rounds of hellos in which the table still goes to the whole data centre.
     int intent_repeats_ = 0;
     time_point asked_evacuations_at_;
+    // Requests for the table so far.
+    std::size_t asked_ = 0;
     std::set<data_centre_id> reported_without_hosts_;
     // Set while the table lacks refused requests: the data centres that had
     // hosts at the last listing.
--- a/packages/core/src/relay/entry_evacuation.cpp
+++ b/packages/core/src/relay/entry_evacuation.cpp
@@ -201,10 +201,12 @@
     asked_evacuations_at_ = now;
     const auto reader = entries_.reader();
     const auto near = entries_.near_entries();
-    if (reader)
+    // The reader has the newest table, but may be of a build without one.
+    if (reader && (asked_ == 0 || near.empty()))
         hooks_.send(*reader, directory_request{});
     else if (!near.empty())
-        hooks_.send(near.front(), directory_request{});
+        hooks_.send(near[asked_ % near.size()], directory_request{});
+    ++asked_;
 }
 
 // Whether hosts that the route could use are excluded by evacuations only.
--- a/packages/core/src/relay/entry_evacuation_test.cpp
+++ b/packages/core/src/relay/entry_evacuation_test.cpp
@@ -45,6 +45,7 @@
 struct fixture {
     std::vector<machine_address> packets;
     std::vector<std::string> sent;
+    std::vector<machine_address> asked;
     std::vector<std::string> events;
     std::vector<std::string> listings;
     std::optional<revision> reads_after;
@@ -62,8 +63,10 @@
                                    byte_view) { packets.push_back(to); },
                  .reset = [this](const flow_key&, std::uint32_t) { ++resets; },
                  .send =
-                     [this](machine_address, const message& it) {
+                     [this](machine_address to, const message& it) {
                          sent.emplace_back(type_name(it));
+                         if (std::holds_alternative<directory_request>(it))
+                             asked.push_back(to);
                      },
                  .decode = [this](byte_view) { return std::optional(opening); },
                  .restart_reading =
@@ -156,6 +159,7 @@
     CPPUNIT_TEST(a_new_reader_without_a_table_lists_the_store);
     CPPUNIT_TEST(no_flow_is_placed_before_the_table_is_known);
     CPPUNIT_TEST(an_unknown_table_delays_flows_for_a_limited_time);
+    CPPUNIT_TEST(different_entries_are_asked_for_the_table);
     CPPUNIT_TEST(a_requested_directory_comes_with_the_table);
     CPPUNIT_TEST(evacuated_hosts_displace_no_others);
     CPPUNIT_TEST(a_copy_of_an_accepted_opening_reaches_its_host);
@@ -230,6 +234,26 @@
 
     // Guards against an entry that starts while the store is down and gets the
     // directory before, or without, the requests.
+    // Guards against an entry that asks the same peer again and again, which
+    // may be of a build that knows no evacuations.
+    void different_entries_are_asked_for_the_table() {
+        fixture it;
+        it.hear_reader(start);
+        const machine_address other(0x0a010007);
+        it.entry.on_message(other,
+                            peer_hello{.run = incarnation(2),
+                                       .data_centre = here,
+                                       .is_reply = true},
+                            start);
+        it.receive_directory(5);
+        it.asked.clear();
+        it.tick_until(start, start + milliseconds(2900));
+        CPPUNIT_ASSERT(!it.asked.empty());
+        // The reader has the newest table.
+        CPPUNIT_ASSERT(it.asked.front() == peer);
+        CPPUNIT_ASSERT(std::ranges::find(it.asked, other) != it.asked.end());
+    }
+
     void a_requested_directory_comes_with_the_table() {
         for (const bool expects : {true, false}) {
             fixture it(expects);
