Count only openings as flows opened since the report

Cause: entries take an announcement of a single flow for one that has just opened. Single flows were also announced for a search hit, a flow learned from the host's packets, a copy of a SYN+ACK, a query and a last batch of one flow. After a restart of entries each search hit counted as an opening at each entry.

Change: an announcement of one flow that is not new names it twice. Its meaning to entries is the same as before, and earlier builds can read it. Only an announcement of a single flow ends a placement and counts as opened; lists of known flows do neither.

--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -161,8 +161,8 @@
                        return_reason reason, const char* logged_reason);
     flow_state& find_or_add_flow(const segment& packet, time_point now);
     void erase(const flow_key& flow, time_point now);
-    void announce(const flow_key& flow, const flow_state& it, time_point now,
-                  machine_address additional_entry = {});
+    void announce(const flow_key& flow, const flow_state& it, bool is_new,
+                  time_point now, machine_address additional_entry = {});
     void on_query(machine_address from, const flow_query& it, time_point now);
     void on_registration(registration it, time_point now);
     void set_idle_timeout(entry& sender, duration it);
--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -124,7 +124,8 @@
 };
 
 /// @brief Announces flows that the sender's host owns. Carries the current load
-/// because hundreds of flows open between two reports after a power failure.
+/// because hundreds of flows open between two reports after a power failure. A
+/// flow that has just opened is named alone; another one alone is named twice.
 struct owned_flows {
     std::uint32_t outstanding = 0;
     std::uint32_t total = 0;
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -16,6 +16,13 @@
 // host. It covers two hellos.
 constexpr duration listing_age = std::chrono::seconds(1);
 
+// Entries take a single flow for one that has just opened. Any other that would
+// be alone is named twice, which all builds can read.
+void mark_as_known(owned_flows& it) {
+    if (it.flows.size() == 1)
+        it.flows.push_back(it.flows.front());
+}
+
 } // namespace
 
 void host_relay::on_message(machine_address from, const message& it,
@@ -70,6 +77,7 @@
             here.flows.push_back(
                 {flow, known->second.client_start, known->second.host_start});
     }
+    mark_as_known(here);
     if (!here.flows.empty())
         hooks_.send(from, here);
     if (!denial.not_owned.empty() || !denial.uncertain.empty())
@@ -159,11 +167,14 @@
 // Announces the flow to the entries of its data centre, since any of them may
 // receive the flow's next packet.
 void host_relay::announce(const flow_key& flow, const flow_state& it,
-                          time_point now, machine_address additional_entry) {
+                          bool is_new, time_point now,
+                          machine_address additional_entry) {
     owned_flows here = make_owned_flows();
     here.flows.push_back({.flow = flow,
                           .client_start = it.client_start,
                           .host_start = it.host_start});
+    if (!is_new)
+        mark_as_known(here);
     const message announcement = here;
     bool was_sent = additional_entry == machine_address();
     for (const auto& [machine, one] : entries_) {
@@ -255,6 +266,7 @@
             batch.flows.clear();
         }
     }
+    mark_as_known(batch);
     // The last batch may be empty; it marks the end.
     hooks_.send(to, batch);
 }
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -281,12 +281,13 @@
     known.sent_flows = known.sent_flows || known.has_reported;
     known.report.outstanding = here.outstanding;
     known.report.flows = here.total;
-    const auto announced = static_cast<std::uint32_t>(here.flows.size());
-    known.placed.subtract(announced);
-    // An opening is announced alone, to all entries of its data centre. Longer
-    // lists name flows that the host has had for some time.
-    if (announced == 1)
+    // An opening is announced alone, to all entries of its data centre. Lists
+    // name flows that the host has had for some time; if there is only one such
+    // flow, it is named twice.
+    if (here.flows.size() == 1) {
+        known.placed.subtract(1);
         known.opened.add(now);
+    }
 }
 
 void host_peers::on_placed(machine_address machine, time_point now) {
--- a/packages/core/src/relay/host_peers_test.cpp
+++ b/packages/core/src/relay/host_peers_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST_SUITE(host_peers_test);
     CPPUNIT_TEST(a_placement_counts_until_a_report_can_include_it);
     CPPUNIT_TEST(flows_placed_by_other_entries_count);
+    CPPUNIT_TEST(known_flows_do_not_stand_for_placed_ones);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -49,6 +50,19 @@
         CPPUNIT_ASSERT_EQUAL(0U, peers.find(host)->opened.value());
     }
 
+    // Guards against a placement that is taken for open because an older flow
+    // was named, twice since it is not new.
+    void known_flows_do_not_stand_for_placed_ones() {
+        host_peers peers = followed();
+        peers.on_placed(host, start);
+        peers.on_placed(host, start);
+        peers.on_flows(host, {.flows = {2, owned_flow{}}}, start);
+        CPPUNIT_ASSERT_EQUAL(2U, peers.find(host)->placed.value());
+        peers.on_flows(host, {.flows = {owned_flow{}}}, start);
+        CPPUNIT_ASSERT_EQUAL(1U, peers.find(host)->placed.value());
+        CPPUNIT_ASSERT_EQUAL(1U, peers.find(host)->opened.value());
+    }
+
 private:
     static host_peers followed() {
         host_peers out;
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -61,7 +61,7 @@
         return;
     }
     if (packet.mark.kind == forwarding_mode::search)
-        announce(packet.flow, flow, now, from);
+        announce(packet.flow, flow, false, now, from);
     update_from_client(from, flow, packet, now);
     deliver(from, packet, now);
 }
@@ -171,7 +171,7 @@
         }
         hooks_.report(
             {.name = "flow_opened", .flow = packet.flow, .machine = entry});
-        announce(packet.flow, flow, now, entry);
+        announce(packet.flow, flow, !is_copy, now, entry);
     } else {
         flow_state& flow = find_or_add_flow(packet, now);
         flow.used_at = now;
@@ -210,7 +210,7 @@
                    .reason = "host_sent",
                    .flow = packet.flow,
                    .machine = entry});
-    announce(packet.flow, flow, now, entry);
+    announce(packet.flow, flow, false, now, entry);
     return flow;
 }
 
--- a/packages/core/src/relay/host_relay_test.cpp
+++ b/packages/core/src/relay/host_relay_test.cpp
@@ -1,6 +1,8 @@
 // Checks what a host's relay process concludes from the hellos of entries that
-// have different configurations, and which packets it takes for its host.
+// have different configurations, which packets it takes for its host, and which
+// of its announcements entries take for openings.
 
+#include <arbutusport/relay/host_peers.hpp>
 #include <arbutusport/relay/host_relay.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -72,6 +74,86 @@
     return is_delivered;
 }
 
+constexpr machine_address host_machine{0x0a010009};
+
+// A host's process, and what an entry's table knows of it from its messages.
+class announcing_process {
+public:
+    announcing_process() {
+        peers_.add_departed({host_machine, {}}, start);
+        peers_.on_report(host_machine, {}, start);
+        relay_.on_message(current_entry, hello{}, start);
+    }
+
+    // An opening packet and the host's answer.
+    void open(std::uint16_t port) {
+        segment it = packet(port);
+        it.syn = true;
+        it.mark = make_placement_mark(service_);
+        relay_.on_entry(current_entry, it, start);
+        answer_opening(port);
+    }
+
+    // Also used for a copy of the answer.
+    void answer_opening(std::uint16_t port) {
+        segment it = packet(port);
+        it.syn = true;
+        it.ack = true;
+        it.sequence = 90'000;
+        it.acknowledged = 1;
+        relay_.on_host(it, start);
+    }
+
+    void search(std::uint16_t port) {
+        segment it = packet(port);
+        it.mark = {forwarding_mode::search, make_service_tag(service_)};
+        relay_.on_entry(current_entry, it, start);
+    }
+
+    void send_data(std::uint16_t port) { relay_.on_host(packet(port), start); }
+
+    void query(std::uint16_t port) {
+        relay_.on_message(current_entry, flow_query{{packet(port).flow}},
+                          start);
+    }
+
+    void ask_for_flows() {
+        relay_.on_message(current_entry, hello{.wants_flows = true}, start);
+    }
+
+    std::uint32_t opened() const {
+        return peers_.find(host_machine)->opened.value();
+    }
+
+    // Flows named by messages so far.
+    std::size_t named = 0;
+
+private:
+    static segment packet(std::uint16_t port) {
+        segment it;
+        it.flow = unknown_flow;
+        it.flow.client.port = port;
+        return it;
+    }
+
+    service_id service_ = service_id_of("participa");
+    host_peers peers_;
+    host_relay relay_{{.service = service_},
+                      {.deliver = [](machine_address, byte_view) {},
+                       .to_client = [](const flow_key&, byte_view) {},
+                       .reset = [](const flow_key&, std::uint32_t) {},
+                       .send =
+                           [this](machine_address, const message& it) {
+                               if (const auto* flows =
+                                       std::get_if<owned_flows>(&it)) {
+                                   named += flows->flows.size();
+                                   peers_.on_flows(host_machine, *flows, start);
+                               }
+                           },
+                       .report = [](const event&) {}},
+                      start};
+};
+
 } // namespace
 
 class host_relay_test : public CppUnit::TestFixture {
@@ -79,6 +161,7 @@
     CPPUNIT_TEST(an_outdated_entry_does_not_shorten_the_idle_timeout);
     CPPUNIT_TEST(a_shorter_idle_timeout_counts_once_all_entries_have_it);
     CPPUNIT_TEST(only_opening_packets_of_the_own_service_are_delivered);
+    CPPUNIT_TEST(only_openings_count_as_opened);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -122,6 +205,33 @@
         CPPUNIT_ASSERT(
             !delivers(own, {forwarding_mode::place, service_tag(0)}));
     }
+
+    // Guards against entries that take each search hit after their restart for
+    // a new flow, and avoid the hosts that have the most flows.
+    void only_openings_count_as_opened() {
+        announcing_process it;
+        it.open(1);
+        CPPUNIT_ASSERT_EQUAL(1U, it.opened());
+        const auto expect_known = [&] {
+            CPPUNIT_ASSERT(it.named >= 1);
+            CPPUNIT_ASSERT_EQUAL(1U, it.opened());
+            it.named = 0;
+        };
+        it.named = 0;
+        it.search(1);
+        expect_known();
+        it.answer_opening(1);
+        expect_known();
+        it.query(1);
+        expect_known();
+        it.ask_for_flows();
+        expect_known();
+        // A flow that was open before the process started.
+        it.send_data(2);
+        expect_known();
+        it.open(3);
+        CPPUNIT_ASSERT_EQUAL(2U, it.opened());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(host_relay_test);
