--- a/packages/testing/src/emulator/placement_trace_test.cpp
+++ b/packages/testing/src/emulator/placement_trace_test.cpp
@@ -99,8 +99,9 @@
                 // Herding would exceed what the rule by requests shows.
                 CPPUNIT_ASSERT(best.peak_in_report_interval <=
                                requests.peak_in_report_interval);
-                // A host's rank does not move by more than its load does: no
-                // host gets more than twice its share within a second.
+                // A host's rank does not move by more than its load does: in
+                // the mean over all seconds, the host that gets most flows gets
+                // at most twice its share.
                 CPPUNIT_ASSERT(best.peak_in_second <= 2);
                 if (load == 0.8) {
                     missed += 1 - best.in_time;
