--- a/packages/core/src/relay/work_meter.cpp
+++ b/packages/core/src/relay/work_meter.cpp
@@ -19,6 +19,10 @@
 // below the first value, and below this share of the route's mean.
 constexpr duration min_service = std::chrono::milliseconds(1);
 constexpr int max_speedup = 8;
+// An answer after this part of the mean is no refusal. The mean may be from
+// when the host was slower, and nothing is learned while lost requests hold all
+// slots.
+constexpr int min_served_share = 4;
 // After this long without a plausible sample what was learned no longer holds.
 constexpr duration implausible_limit = std::chrono::seconds(10);
 
@@ -127,7 +131,8 @@
     // all slots since its arrival are lost.
     const time_point arrived_at = it->arrived_at;
     const bool was_served =
-        now - arrived_at >= std::max(times_of(route).mean(), min_service);
+        now - arrived_at >=
+        std::max(times_of(route).mean() / min_served_share, 2 * min_service);
     erase(it, now);
     if (was_served)
         erase_started_by(arrived_at, now);
--- a/packages/core/src/relay/work_meter_test.cpp
+++ b/packages/core/src/relay/work_meter_test.cpp
@@ -125,6 +125,7 @@
     CPPUNIT_TEST(a_host_that_answers_fast_errors);
     CPPUNIT_TEST(a_silent_host);
     CPPUNIT_TEST(a_lost_request_does_not_hold_its_slot);
+    CPPUNIT_TEST(a_lost_request_does_not_hold_the_slot_of_a_faster_host);
     CPPUNIT_TEST(a_restarted_process);
     CPPUNIT_TEST(many_idle_flows_and_routes);
     CPPUNIT_TEST(uploads_of_many_packets);
@@ -237,6 +238,16 @@
         CPPUNIT_ASSERT(meter_.backlog(host_.now) < 10 * usual);
     }
 
+    // The mean is from when the host was slower, as after its warm-up.
+    void a_lost_request_does_not_hold_the_slot_of_a_faster_host() {
+        host_.run(seconds(5), 30, constant(usual));
+        for (std::uint32_t i = 0; i < slots; ++i)
+            meter_.on_request(make_flow(100'000 + i), feed_route, host_.now);
+        host_.run(seconds(2), 30, constant(usual / 2));
+        CPPUNIT_ASSERT(meter_.mean_service() < usual * 3 / 4);
+        CPPUNIT_ASSERT(meter_.requests() < slots);
+    }
+
     // A new process learns within two seconds while the host is busy.
     void a_restarted_process() {
         work_meter first;
