--- a/packages/core/src/relay/egress_scheduler_test.cpp
+++ b/packages/core/src/relay/egress_scheduler_test.cpp
@@ -98,16 +98,21 @@
                        narrow_link * 1.02);
     }
 
+    // Load: twice the link's rate for 80 ms.
     void uploads_keep_their_order_and_get_the_rest_of_the_link() {
         egress it(narrow_link);
         std::uint8_t number = 0;
-        for (int ms = 0; ms < 100; ++ms) {
+        for (int ms = 0; ms < 80; ++ms) {
+            it.submit(bulk, start + milliseconds(ms), ++number);
             it.submit(bulk, start + milliseconds(ms), ++number);
             it.scheduler().flush(start + milliseconds(ms));
         }
-        it.scheduler().flush(start + milliseconds(200));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{100}, it.sent().size());
-        for (std::size_t n = 0; n < 100; ++n)
+        CPPUNIT_ASSERT(it.scheduler().delayed() > 50);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, it.scheduler().dropped());
+        for (int ms = 80; ms < 250; ms += 10)
+            it.scheduler().flush(start + milliseconds(ms));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{160}, it.sent().size());
+        for (std::size_t n = 0; n < it.sent().size(); ++n)
             CPPUNIT_ASSERT_EQUAL(static_cast<std::uint8_t>(n + 1),
                                  it.first_bytes()[n]);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.scheduler().queued_bytes());
