--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -28,6 +28,10 @@
     duration delay = std::chrono::milliseconds(1);
     /// Fraction of packets and messages that are dropped.
     double loss = 0;
+    /// Speed of each entry's link for the messages that it sends, and how many
+    /// bytes may wait for it; what exceeds them is lost. 0: no limit.
+    double link_bytes_per_second = 0;
+    std::size_t link_queue_bytes = 64 * 1024;
     /// The service that reuse_address() and change_route() use.
     service_id other_service = service_id_of("acervo");
     /// Send limit for the searches of each entry.
@@ -74,6 +78,7 @@
     void set_deviations(deviations choices);
     /// @brief Number of packets and messages since set_deviations().
     std::size_t transfer_count() const { return transfer_count_; }
+    std::size_t entry_count() const { return options_.entries; }
     duration now() const { return now_; }
 
     /// @brief Opens a flow through the entry and returns its index. Only port
@@ -128,6 +133,9 @@
     /// @brief Publishes a configuration with one more route, to the main
     /// service.
     void add_route(std::uint16_t service_port);
+    /// @brief Publishes a configuration with so many more routes, at addresses
+    /// that no client uses.
+    void add_idle_routes(std::size_t count);
 
     /// @brief The operator requests to evacuate the data centre, or takes the
     /// request back. Entries and hosts belong to the first data centres.
@@ -210,6 +218,10 @@
     void schedule(duration delay, std::function<void()> action);
     /// @brief Delay of the next packet or message; empty if it is dropped.
     std::optional<duration> next_transfer_delay();
+    /// @brief How long a message waits for the sender's link; empty if it is
+    /// lost there.
+    std::optional<duration> link_delay(relay::machine_address from,
+                                       std::size_t byte_count);
     bool is_isolated(relay::machine_address machine) const;
     bool is_previous_build(relay::machine_address machine) const;
     time_point time() const { return time_point(now_); }
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -230,8 +230,6 @@
 
 void relay_world::count_message(machine_address from, machine_address to,
                                 const relay::message& message) {
-    // IPv4 and UDP headers of each datagram.
-    constexpr std::size_t datagram_overhead = 28;
     const auto size = relay::encode(message).size() + datagram_overhead;
     path_counts& counts = sent_messages_[relay::type_name(message)];
     message_count& path = data_centre_of(from) == data_centre_of(to)
@@ -247,6 +245,24 @@
             add(entries_[it.value() - first_entry_address]->traffic);
 }
 
+std::optional<duration> relay_world::link_delay(machine_address from,
+                                                std::size_t byte_count) {
+    const std::size_t sender = from.value() - first_entry_address;
+    if (options_.link_bytes_per_second == 0 || sender >= entries_.size())
+        return duration{};
+    const auto time_of = [&](std::size_t n) {
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(static_cast<double>(n) /
+                                          options_.link_bytes_per_second));
+    };
+    duration& free_at = entries_[sender]->link_free_at;
+    free_at = std::max(free_at, now_);
+    if (free_at - now_ > time_of(options_.link_queue_bytes))
+        return std::nullopt;
+    free_at += time_of(byte_count);
+    return free_at - now_;
+}
+
 void relay_world::send_message(machine_address from, machine_address to,
                                const relay::message& message) {
     if (concerns_limits(message) &&
@@ -258,11 +274,13 @@
         return;
     count_message(from, to, message);
     const auto delay = next_transfer_delay();
-    if (!delay || is_isolated(from) || is_isolated(to) ||
+    const auto waits =
+        link_delay(from, relay::encode(message).size() + datagram_overhead);
+    if (!delay || !waits || is_isolated(from) || is_isolated(to) ||
         dropped_types_.contains(relay::type_name(message)) ||
         !understands(to, message))
         return;
-    schedule(*delay, [this, from, to, message] {
+    schedule(*delay + *waits, [this, from, to, message] {
         if (to.value() >= first_host_address) {
             const std::size_t host = to.value() - first_host_address;
             if (host < hosts_.size() && hosts_[host]->process)
--- a/packages/testing/src/emulator/relay_world_faults.cpp
+++ b/packages/testing/src/emulator/relay_world_faults.cpp
@@ -139,6 +139,17 @@
     send_change(store_.put(routing_));
 }
 
+void relay_world::add_idle_routes(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto n = static_cast<std::uint32_t>(routing_.routes.size());
+        routing_.routes.push_back(
+            {{service_address.address + n, service_address.port},
+             {{main_service, 1}}});
+    }
+    ++routing_.version;
+    send_change(store_.put(routing_));
+}
+
 void relay_world::evacuate(std::size_t index) {
     send_change(store_.evacuate(data_centre(index)));
 }
--- a/packages/testing/src/emulator/relay_world_state.hpp
+++ b/packages/testing/src/emulator/relay_world_state.hpp
@@ -24,6 +24,8 @@
 inline constexpr duration last_retransmission = milliseconds(1600);
 inline constexpr std::uint16_t request_bytes = 200;
 inline constexpr std::size_t min_packet_bytes = 34;
+// IPv4 and UDP headers of each datagram.
+inline constexpr std::size_t datagram_overhead = 28;
 
 using packet_fields = relay_world::packet_fields;
 
@@ -112,6 +114,8 @@
     bool disregards_eras = false;
     bool is_previous_build = false;
     duration change_delay{};
+    // When the link has sent everything that waits for it.
+    duration link_free_at{};
     machine_address machine;
     message_count traffic;
 };
