--- a/packages/core/include/arbutusport/relay/peer_entries.hpp
+++ b/packages/core/include/arbutusport/relay/peer_entries.hpp
@@ -91,8 +91,8 @@
     /// be adopted.
     void request_from(machine_address from, time_point now);
     /// @brief Returns the complete view once its last part has arrived.
-    std::optional<directory_view> on_part(machine_address from,
-                                          const directory_part& it);
+    std::optional<directory_view>
+    on_part(machine_address from, const directory_part& it, time_point now);
     /// @brief Adds an entry that another process has recently heard from.
     void add_entry(machine_address machine, time_point now);
     /// @brief Adds an entry of the own data centre that a host process of it
@@ -142,6 +142,7 @@
         bool silent = false;
         // The view being received, and its parts so far.
         directory_part receiving;
+        time_point receiving_since;
         std::map<std::uint16_t, bytes> parts;
     };
 
@@ -176,6 +177,8 @@
     void request_directory(const local_status& own, time_point now);
     void send_view(machine_address to, const directory& known,
                    bool with_routes) const;
+    void report_incomplete(machine_address from, const peer& sender,
+                           time_point now) const;
     std::optional<machine_address> newer_peer(const directory& known,
                                               time_point now) const;
 
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -62,7 +62,7 @@
             },
             [&](const operator_intent& one) { on_intent(one, now); },
             [&](const directory_part& one) {
-                const auto view = entries_.on_part(from, one);
+                const auto view = entries_.on_part(from, one, now);
                 if (view && directory_.adopt_view(*view, now))
                     on_directory_changed("from_peer", now);
             },
--- a/packages/core/src/relay/peer_directories.cpp
+++ b/packages/core/src/relay/peer_directories.cpp
@@ -15,6 +15,18 @@
 // A peer that has been silent for longer receives no directory request.
 constexpr duration source_timeout = std::chrono::seconds(2);
 
+event_input as_of_input(revision it) {
+    return {"as_of", static_cast<std::int64_t>(it.number())};
+}
+
+event_input since_input(const char* key, time_point since, time_point now) {
+    return {key, (now - since) / std::chrono::milliseconds(1)};
+}
+
+event_input count_input(const char* key, std::size_t n) {
+    return {key, static_cast<std::int64_t>(n)};
+}
+
 } // namespace
 
 // Sends the request to one peer at a time; views from all peers at once would
@@ -35,6 +47,11 @@
     request_due_ = now + request_pause_;
     request_pause_ =
         std::min(2 * request_pause_, options_.max_request_interval);
+    report_({.severity = event::level::info,
+             .name = "directory_requested",
+             .machine = *source,
+             .inputs = {{as_of_input(own.known.as_of()),
+                         since_input("behind_ms", *behind_since_, now)}}});
     send_(*source, directory_request{});
 }
 
@@ -85,14 +102,21 @@
     pushed_hosts_.clear();
     for (const auto& [key, it] : known.hosts())
         pushed_hosts_.emplace(key, it.at);
+    std::size_t receivers = 0;
     for (const auto& [machine, it] : peers_) {
         if (!is_near(it) || has_same_contents(it, known))
             continue;
+        ++receivers;
         if (delta && !it.predates_announcements)
             send_(machine, *delta);
         else
             send_view(machine, known, with_routes);
     }
+    report_({.severity = event::level::info,
+             .name = "directory_pushed",
+             .reason = delta ? "changes" : "whole",
+             .inputs = {{as_of_input(known.as_of()),
+                         count_input("receivers", receivers)}}});
 }
 
 // Returns nothing if the change is too large for one datagram.
@@ -139,15 +163,18 @@
     }
 }
 
-std::optional<directory_view>
-peer_entries::on_part(machine_address from, const directory_part& part) {
+std::optional<directory_view> peer_entries::on_part(machine_address from,
+                                                    const directory_part& part,
+                                                    time_point now) {
     if (part.count == 0 || part.count > max_parts || part.index >= part.count)
         return std::nullopt;
     peer& sender = peers_[from];
     if (sender.receiving.as_of != part.as_of ||
         sender.receiving.digest != part.digest ||
         sender.receiving.count != part.count) {
+        report_incomplete(from, sender, now);
         sender.receiving = part;
+        sender.receiving_since = now;
         sender.parts.clear();
     }
     sender.parts[part.index] = part.content;
@@ -156,6 +183,12 @@
     bytes whole;
     for (const auto& [index, content] : sender.parts)
         whole.insert(whole.end(), content.begin(), content.end());
+    report_(
+        {.severity = event::level::info,
+         .name = "directory_received",
+         .machine = from,
+         .inputs = {{as_of_input(part.as_of), count_input("parts", part.count),
+                     since_input("took_ms", sender.receiving_since, now)}}});
     sender.parts.clear();
     sender.receiving = {};
     return handle_failure(
@@ -166,6 +199,21 @@
         [](const failure&) { return std::optional<directory_view>(); });
 }
 
+void peer_entries::report_incomplete(machine_address from, const peer& sender,
+                                     time_point now) const {
+    const std::size_t arrived = sender.parts.size();
+    if (arrived == 0)
+        return;
+    report_(
+        {.severity = event::level::info,
+         .name = "directory_incomplete",
+         .machine = from,
+         .inputs = {{as_of_input(sender.receiving.as_of),
+                     count_input("parts", sender.receiving.count),
+                     count_input("missing", sender.receiving.count - arrived),
+                     since_input("took_ms", sender.receiving_since, now)}}});
+}
+
 bool peer_entries::is_stuck(const directory& known, duration limit,
                             time_point now) const {
     return behind_since_ && now - *behind_since_ > limit &&
