Entries: confirm changes of the directory, pace and repair whole ones

Cause: the reader pushed each version as a whole directory, 31 to 55 datagrams for each follower in one burst and without any answer. A link of 10 Mbit/s lost the end of the burst, always for the last entries in the order of addresses. All parts had to arrive, the next version discarded what had arrived, and changes of hosts behind a lost version could not be adopted. Requests were answered the same way, at intervals that doubled up to 3 s.

Change: directory_sender and directory_receiver. A change, also of routes, is one datagram relative to the contents that the follower has confirmed, repeated until it confirms the latest (directory_position). Whole directories go to one follower after the other within a quarter of the link; one that has begun is completed; missing parts are requested (directory_part_request). Followers of earlier builds get whole directories, paced, and no new type.

--- a/packages/core/include/arbutusport/relay/directory.hpp
+++ b/packages/core/include/arbutusport/relay/directory.hpp
@@ -139,8 +139,16 @@
     std::vector<host> hosts;
 };
 
-/// @brief The hosts that differ between two states of the directory with the
-/// same routes.
+/// @brief The routes that differ between two configurations.
+struct routing_delta {
+    revision at;
+    std::uint64_t version = 0;
+    duration idle_timeout{};
+    std::vector<route> changed;
+    std::vector<endpoint> removed;
+};
+
+/// @brief What differs between two states of the directory.
 struct directory_delta {
     revision as_of;
     /// Digests of the states before and after the change.
@@ -148,6 +156,11 @@
     std::uint64_t digest = 0;
     std::vector<directory_view::host> changed;
     std::vector<host_key> removed;
+    /// Set if the configuration differs. Only together with `wants_position`.
+    std::optional<routing_delta> routing;
+    /// The recipient answers with a directory_position. Sent with a type of
+    /// its own, which earlier builds drop.
+    bool wants_position = false;
 };
 
 struct directory_options {
@@ -199,7 +212,7 @@
     /// newer version of the configuration is adopted.
     bool adopt_view(const directory_view& view, time_point now);
     directory_view view() const;
-    /// @brief Adopts a peer's newer state if the own one is its base.
+    /// @brief Adopts a peer's later state if the own one is its base.
     bool adopt_delta(const directory_delta& delta, time_point now);
 
     /// @brief Adopts a peer's limits if their version of the configuration is
@@ -234,6 +247,7 @@
     /// @brief Null if the service has no limit, or none is known.
     const warmup_limit* warmup_limit_of(service_id service) const;
     std::vector<warmup_limit> warmup_limits() const;
+    const routing_document& routing() const { return routing_; }
     const std::map<host_key, host>& hosts() const { return hosts_; }
     /// @brief The newest record of a host at the IPv4 address, of any service;
     /// null if there is none.
@@ -242,6 +256,7 @@
 private:
     void apply_document(revision at, const routing_document& document);
     bool apply_routing(revision at, routing_document document);
+    routing_document changed_by(const routing_delta& it) const;
     void apply_host(revision at, const host_record& record, time_point now);
     void put_host(revision at, const host_record& record, time_point now);
     void remove_host(host_key key, time_point now);
--- a/packages/core/include/arbutusport/relay/entry_relay.hpp
+++ b/packages/core/include/arbutusport/relay/entry_relay.hpp
@@ -84,6 +84,8 @@
     duration pause_limit = std::chrono::milliseconds(1500);
     directory_options directory;
     host_peer_options peers;
+    /// Send limit of whole directories.
+    byte_budget_options directories = directory_sender_options{}.budget;
     placement_options placement;
     owner_search_options search;
     read_barrier_options barrier;
--- a/packages/core/include/arbutusport/relay/messages.hpp
+++ b/packages/core/include/arbutusport/relay/messages.hpp
@@ -221,6 +221,24 @@
     bytes content;
 };
 
+/// @brief The contents of the sender's directory. Sent to the entry that reads
+/// the store: once the sender follows it, and in answer to what it sends.
+/// Earlier builds drop it.
+struct directory_position {
+    incarnation run;
+    revision as_of;
+    std::uint64_t digest = 0;
+};
+
+/// @brief Requests the parts of a directory that have not arrived. Earlier
+/// builds drop it.
+struct directory_part_request {
+    revision as_of;
+    std::uint64_t digest = 0;
+    std::uint16_t count = 0;
+    std::vector<std::uint16_t> missing;
+};
+
 /// @brief Requests a read of the store that starts after this message has
 /// arrived; see read_barrier. Earlier builds drop it.
 struct barrier_request {
@@ -256,10 +274,11 @@
     std::vector<warmup_limit> warmup_limits;
 };
 
-using message = std::variant<hello, load_report, owned_flows, flow_query,
-                             flow_denial, packet_returned, peer_hello,
-                             directory_request, directory_part, directory_delta,
-                             barrier_request, barrier_reply, operator_intent>;
+using message =
+    std::variant<hello, load_report, owned_flows, flow_query, flow_denial,
+                 packet_returned, peer_hello, directory_request, directory_part,
+                 directory_delta, barrier_request, barrier_reply,
+                 operator_intent, directory_position, directory_part_request>;
 
 /// @brief Name of the message's type, for metrics.
 const char* type_name(const message& it);
--- a/packages/core/include/arbutusport/relay/peer_entries.hpp
+++ b/packages/core/include/arbutusport/relay/peer_entries.hpp
@@ -6,6 +6,8 @@
 #pragma once
 
 #include <arbutusport/relay/directory.hpp>
+#include <arbutusport/relay/directory_receiver.hpp>
+#include <arbutusport/relay/directory_sender.hpp>
 #include <arbutusport/relay/events.hpp>
 #include <arbutusport/relay/messages.hpp>
 #include <arbutusport/relay/reader_election.hpp>
@@ -48,12 +50,12 @@
     /// If the own directory is older than a peer's for this long, it is
     /// requested from the peer. Reading the store normally updates it sooner.
     duration behind_timeout = std::chrono::milliseconds(500);
-    /// Changes within this time are pushed together.
-    duration push_interval = std::chrono::milliseconds(40);
     /// Interval between two requests for a directory; doubles while none
     /// arrives, so that requests do not add to the load of a congested link.
     duration request_interval = std::chrono::milliseconds(200);
     duration max_request_interval = std::chrono::seconds(3);
+    directory_sender_options sending;
+    directory_receiver_options receiving;
 };
 
 class peer_entries {
@@ -74,7 +76,14 @@
     void on_tick(const local_status& own, time_point now);
     void on_hello(machine_address from, const peer_hello& it,
                   const local_status& own, time_point now);
-    void on_request(machine_address from, const directory& known);
+    void on_request(machine_address from, const directory& known,
+                    time_point now);
+    void on_part_request(machine_address from, const directory_part_request& it,
+                         const directory& known, time_point now);
+    void on_position(machine_address from, const directory_position& it,
+                     time_point now);
+    /// @brief States the own contents to the entry that reads the store.
+    void send_position(machine_address to, const directory& known) const;
     /// @brief Whether this process should read the store for its data centre;
     /// see reader_election.
     bool should_read(bool reads, bool prefers_others, time_point now);
@@ -84,8 +93,8 @@
     std::optional<machine_address> reader() const;
     /// @brief Restarts the timeouts after this process was suspended.
     void on_resumed(time_point now) { election_.on_resumed(now); }
-    /// @brief Sends a changed directory to the entries of the data centre: what
-    /// changed since the last push if that fits into one message.
+    /// @brief Keeps the entries of the data centre up to date; see
+    /// directory_sender.
     void push(const directory& known, time_point now);
     /// @brief Requests the whole directory of an entry whose change could not
     /// be adopted.
@@ -140,10 +149,11 @@
         std::uint32_t unanswered_hellos = 0;
         // The peer was reported as silent.
         bool silent = false;
-        // The view being received, and its parts so far.
-        directory_part receiving;
-        time_point receiving_since;
-        std::map<std::uint16_t, bytes> parts;
+        // The run in which the peer last stated its position; a peer of an
+        // earlier build never does.
+        std::optional<incarnation> position_run;
+        // The run of the peer, as the reader, that knows the own position.
+        std::optional<incarnation> informed_run;
     };
 
     using peer_map = std::map<machine_address, peer>;
@@ -175,10 +185,6 @@
     void report_back(machine_address from, peer& sender, time_point now);
     std::vector<machine_address> recently_heard(time_point now) const;
     void request_directory(const local_status& own, time_point now);
-    void send_view(machine_address to, const directory& known,
-                   bool with_routes) const;
-    void report_incomplete(machine_address from, const peer& sender,
-                           time_point now) const;
     std::optional<machine_address> newer_peer(const directory& known,
                                               time_point now) const;
 
@@ -207,15 +213,8 @@
     std::optional<time_point> behind_since_;
     time_point request_due_;
     duration request_pause_{};
-    std::optional<message> delta_since_push(const directory& known) const;
-
-    // The directory that was last pushed, and the revision of each host in it.
-    // The digest is only valid in the era.
-    store_era pushed_era_ = first_era;
-    std::uint64_t pushed_digest_ = 0;
-    std::map<host_key, revision> pushed_hosts_;
-    revision pushed_routing_;
-    time_point pushed_at_;
+    directory_sender sender_;
+    directory_receiver receiver_;
 };
 
 } // namespace arbutusport::relay
--- a/packages/core/src/relay/directory.cpp
+++ b/packages/core/src/relay/directory.cpp
@@ -5,6 +5,7 @@
 #include <arbutusport/relay/directory.hpp>
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace arbutusport::relay {
@@ -94,9 +95,12 @@
 }
 
 bool directory::adopt_delta(const directory_delta& delta, time_point now) {
-    if (delta.as_of <= as_of_ || delta.as_of.era() != as_of_.era() ||
+    // A record that lapsed changes the contents, but not the position.
+    if (delta.as_of < as_of_ || delta.as_of.era() != as_of_.era() ||
         delta.base_digest != digest_)
         return false;
+    if (delta.routing)
+        apply_routing(delta.routing->at, changed_by(*delta.routing));
     for (const auto& it : delta.changed)
         apply_host(it.at, it.record, now);
     for (const host_key key : delta.removed) {
@@ -175,6 +179,21 @@
     return true;
 }
 
+// The result states no terms: those of known routes are kept.
+routing_document directory::changed_by(const routing_delta& it) const {
+    std::unordered_set<endpoint> replaced(it.removed.begin(), it.removed.end());
+    for (const route& one : it.changed)
+        replaced.insert(one.address);
+    routing_document out{.version = it.version,
+                         .idle_timeout = it.idle_timeout};
+    for (const route& one : routing_.routes)
+        if (!replaced.contains(one.address))
+            out.routes.push_back(
+                {.address = one.address, .targets = one.targets});
+    out.routes.insert(out.routes.end(), it.changed.begin(), it.changed.end());
+    return out;
+}
+
 void directory::apply_host(revision at, const host_record& record,
                            time_point now) {
     if (may_be_from_copy(at, now) && is_outdated(at, record)) {
--- a/packages/core/src/relay/directory_codec.cpp
+++ b/packages/core/src/relay/directory_codec.cpp
@@ -12,12 +12,11 @@
 constexpr std::size_t min_route_bytes = endpoint_bytes + 2;
 constexpr std::size_t target_bytes = 12;
 constexpr std::size_t era_bytes = 8;
+constexpr std::size_t host_key_bytes = 8;
 
-void write_routing(byte_writer& out, const routing_document& it) {
-    out.put(it.version);
-    out.put(static_cast<std::uint64_t>(it.idle_timeout.count()));
-    put_count(out, it.routes.size());
-    for (const route& one : it.routes) {
+void write_routes(byte_writer& out, const std::vector<route>& routes) {
+    put_count(out, routes.size());
+    for (const route& one : routes) {
         put(out, one.address);
         put_count(out, one.targets.size());
         for (const weighted_service& target : one.targets) {
@@ -27,19 +26,50 @@
     }
 }
 
-routing_document read_routing(byte_reader& in) {
-    routing_document it;
-    it.version = in.take<std::uint64_t>();
-    it.idle_timeout =
-        duration(static_cast<duration::rep>(in.take<std::uint64_t>()));
+std::vector<route> read_routes(byte_reader& in) {
+    std::vector<route> out;
     for (auto n = in.take_count(min_route_bytes); n > 0; --n) {
         route one{.address = take_endpoint(in)};
         for (auto m = in.take_count(target_bytes); m > 0; --m) {
             const service_id service(in.take<std::uint64_t>());
             one.targets.push_back({service, in.take<std::uint32_t>()});
         }
-        it.routes.push_back(std::move(one));
+        out.push_back(std::move(one));
     }
+    return out;
+}
+
+void write_routing(byte_writer& out, const routing_document& it) {
+    out.put(it.version);
+    put_duration(out, it.idle_timeout);
+    write_routes(out, it.routes);
+}
+
+routing_document read_routing(byte_reader& in) {
+    routing_document it;
+    it.version = in.take<std::uint64_t>();
+    it.idle_timeout = take_duration(in);
+    it.routes = read_routes(in);
+    return it;
+}
+
+void write_routing_delta(byte_writer& out, const routing_delta& it) {
+    put(out, it.at);
+    out.put(it.version);
+    put_duration(out, it.idle_timeout);
+    write_routes(out, it.changed);
+    put_count(out, it.removed.size());
+    for (const endpoint& address : it.removed)
+        put(out, address);
+}
+
+routing_delta read_routing_delta(byte_reader& in) {
+    routing_delta it{.at = take_revision(in)};
+    it.version = in.take<std::uint64_t>();
+    it.idle_timeout = take_duration(in);
+    it.changed = read_routes(in);
+    for (auto n = in.take_count(endpoint_bytes); n > 0; --n)
+        it.removed.push_back(take_endpoint(in));
     return it;
 }
 
@@ -82,6 +112,24 @@
     return {address, in.take<std::uint16_t>()};
 }
 
+void put(byte_writer& out, const revision& it) {
+    out.put(it.era().value());
+    out.put(it.number());
+}
+
+revision take_revision(byte_reader& in) {
+    const store_era era(in.take<std::uint64_t>());
+    return revision(in.take<std::uint64_t>(), era);
+}
+
+void put_duration(byte_writer& out, duration it) {
+    out.put(static_cast<std::uint64_t>(it.count()));
+}
+
+duration take_duration(byte_reader& in) {
+    return duration(static_cast<duration::rep>(in.take<std::uint64_t>()));
+}
+
 void put_count(byte_writer& out, std::size_t n) {
     out.put(static_cast<std::uint16_t>(n));
 }
@@ -118,6 +166,35 @@
     return out;
 }
 
+void write_delta(byte_writer& out, const directory_delta& it) {
+    out.put(it.as_of.number());
+    out.put(it.base_digest);
+    out.put(it.digest);
+    write_hosts(out, it.changed, it.as_of.era());
+    put_count(out, it.removed.size());
+    for (const host_key key : it.removed)
+        out.put(key.value());
+    if (!it.wants_position)
+        return;
+    put_flag(out, it.routing.has_value());
+    if (it.routing)
+        write_routing_delta(out, *it.routing);
+}
+
+directory_delta read_delta(byte_reader& in, store_era era,
+                           bool wants_position) {
+    directory_delta it{.wants_position = wants_position};
+    it.as_of = revision(in.take<std::uint64_t>(), era);
+    it.base_digest = in.take<std::uint64_t>();
+    it.digest = in.take<std::uint64_t>();
+    it.changed = read_hosts(in, era);
+    for (auto n = in.take_count(host_key_bytes); n > 0; --n)
+        it.removed.emplace_back(in.take<std::uint64_t>());
+    if (wants_position && take_flag(in))
+        it.routing = read_routing_delta(in);
+    return it;
+}
+
 leaf::error_id reject(const char* reason) {
     return fail("decode_relay_message", "", reason);
 }
--- a/packages/core/src/relay/directory_test.cpp
+++ b/packages/core/src/relay/directory_test.cpp
@@ -69,6 +69,8 @@
     CPPUNIT_TEST(a_peers_view_removes_hosts_at_once);
     CPPUNIT_TEST(equal_contents_have_equal_digests);
     CPPUNIT_TEST(a_delta_needs_its_base);
+    CPPUNIT_TEST(a_delta_changes_routes);
+    CPPUNIT_TEST(a_delta_without_a_new_position_is_adopted);
     CPPUNIT_TEST(a_delta_with_another_result_does_not_hide_a_view);
     CPPUNIT_TEST(a_restored_store_replaces_older_positions);
     CPPUNIT_TEST(a_change_of_another_history_is_not_applied);
@@ -254,6 +256,67 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, it.hosts().size());
     }
 
+    // A change of routes keeps the terms of those that it does not name, which
+    // are not exchanged.
+    void a_delta_changes_routes() {
+        const endpoint other{0xc6120002, 443};
+        const endpoint added{0xc6120003, 443};
+        directory it;
+        it.adopt_listing(
+            revision(10),
+            {{revision(3),
+              routing_document{.version = 1,
+                               .routes = {{.address = address,
+                                           .targets = {{service_id(1), 1}},
+                                           .terms = {.priority = 3}},
+                                          {other, {{service_id(1), 1}}}}}}},
+            start);
+        directory sender = it;
+        sender.apply(
+            {revision(11),
+             routing_document{.version = 2,
+                              .routes = {{address, {{service_id(1), 1}}},
+                                         {added, {{service_id(2), 1}}}}}},
+            start);
+        sender.advance(revision(11));
+        const directory_delta delta{
+            .as_of = sender.as_of(),
+            .base_digest = it.digest(),
+            .digest = sender.digest(),
+            .routing = routing_delta{.at = revision(11),
+                                     .version = 2,
+                                     .changed = {{added, {{service_id(2), 1}}}},
+                                     .removed = {other}},
+            .wants_position = true};
+        CPPUNIT_ASSERT(it.adopt_delta(delta, start));
+        CPPUNIT_ASSERT(it.as_of() == sender.as_of());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, it.version());
+        CPPUNIT_ASSERT(it.find_route(other) == nullptr);
+        CPPUNIT_ASSERT(it.find_route(added) != nullptr);
+        CPPUNIT_ASSERT(it.find_route(address)->terms.priority == 3);
+    }
+
+    // A record that lapsed was removed at the reader, but its followers kept it
+    // until the next change of the store.
+    void a_delta_without_a_new_position_is_adopted() {
+        directory it = make_directory();
+        directory sender = it;
+        sender.on_store_lost(start);
+        sender.adopt_listing(revision(10), {routing(3, 1), registered(4, 1)},
+                             start);
+        sender.on_store_regained(start);
+        const auto base = sender.digest();
+        CPPUNIT_ASSERT_EQUAL(it.digest(), base);
+        sender.on_tick(start + seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sender.hosts().size());
+        CPPUNIT_ASSERT(it.adopt_delta({.as_of = sender.as_of(),
+                                       .base_digest = base,
+                                       .digest = sender.digest(),
+                                       .removed = {host_key(2)}},
+                                      start + seconds(3)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.hosts().size());
+    }
+
     // Guards against a listing that is dropped because the restored store gave
     // out its revision before (deploy/days/restored.toml).
     void a_restored_store_replaces_older_positions() {
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -44,12 +44,21 @@
             },
             [&](const directory_request&) {
                 send_intent(std::span(&from, 1));
-                entries_.on_request(from, directory_);
+                entries_.on_request(from, directory_, now);
+            },
+            [&](const directory_part_request& one) {
+                entries_.on_part_request(from, one, directory_, now);
+            },
+            [&](const directory_position& one) {
+                entries_.on_position(from, one, now);
             },
             [&](const directory_delta& one) {
-                if (directory_.adopt_delta(one, now))
+                const bool adopted = directory_.adopt_delta(one, now);
+                if (adopted)
                     on_directory_changed("from_peer", now);
-                else if (one.as_of > directory_.as_of() &&
+                if (one.wants_position)
+                    entries_.send_position(from, directory_);
+                else if (!adopted && one.as_of > directory_.as_of() &&
                          (one.as_of.era() != directory_.as_of().era() ||
                           one.digest != directory_.digest()))
                     entries_.request_from(from, now);
@@ -63,8 +72,11 @@
             [&](const operator_intent& one) { on_intent(one, now); },
             [&](const directory_part& one) {
                 const auto view = entries_.on_part(from, one, now);
-                if (view && directory_.adopt_view(*view, now))
+                if (!view)
+                    return;
+                if (directory_.adopt_view(*view, now))
                     on_directory_changed("from_peer", now);
+                entries_.send_position(from, directory_);
             },
             [&](const auto&) {
                 report({.name = "dropped", .reason = "unexpected_message"});
--- a/packages/core/src/relay/entry_relay.cpp
+++ b/packages/core/src/relay/entry_relay.cpp
@@ -34,7 +34,8 @@
           {.run = options_.run,
            .self = options_.self,
            .data_centre = options_.data_centre,
-           .seeds = options_.seeds},
+           .seeds = options_.seeds,
+           .sending = {.budget = options_.directories}},
           [this](machine_address to, const message& it) {
               hooks_.send(to, it);
           },
--- a/packages/core/src/relay/messages.cpp
+++ b/packages/core/src/relay/messages.cpp
@@ -37,13 +37,16 @@
     hello_with_directive,
     load_report_with_work,
     operator_intent,
+    // A directory_delta followed by the optional change of routes.
+    directory_delta_with_routes,
+    directory_position,
+    directory_part_request,
 };
 
-constexpr auto last_type = type::operator_intent;
+constexpr auto last_type = type::directory_part_request;
 
 constexpr std::size_t flow_bytes = 2 * endpoint_bytes + 8;
 constexpr std::size_t departed_bytes = 6;
-constexpr std::size_t host_key_bytes = 8;
 constexpr std::size_t evacuation_bytes = 24;
 constexpr std::size_t warmup_limit_bytes = 20;
 // Rates are sent in thousandths of an opening a second.
@@ -86,16 +89,6 @@
     return static_cast<Enum>(value);
 }
 
-void put(byte_writer& out, const revision& it) {
-    out.put(it.era().value());
-    out.put(it.number());
-}
-
-revision take_revision(byte_reader& in) {
-    const store_era era(in.take<std::uint64_t>());
-    return revision(in.take<std::uint64_t>(), era);
-}
-
 void put(byte_writer& out, const std::vector<evacuation>& list) {
     put_count(out, list.size());
     for (const evacuation& it : list) {
@@ -113,14 +106,6 @@
     return out;
 }
 
-void put_duration(byte_writer& out, duration it) {
-    out.put(static_cast<std::uint64_t>(it.count()));
-}
-
-duration take_duration(byte_reader& in) {
-    return duration(static_cast<duration::rep>(in.take<std::uint64_t>()));
-}
-
 void put_rate(byte_writer& out, double it) {
     out.put(
         static_cast<std::uint32_t>(std::clamp(it, 0.0, max_rate) * rate_unit));
@@ -284,18 +269,32 @@
 }
 
 void write(byte_writer& out, const directory_delta& it) {
-    const store_era era = it.as_of.era();
-    put_type(out, states_era(it.as_of) ? type::directory_delta_with_era
-                                       : type::directory_delta);
-    if (states_era(it.as_of))
-        out.put(era.value());
-    out.put(it.as_of.number());
-    out.put(it.base_digest);
+    const bool has_era = states_era(it.as_of);
+    if (it.wants_position)
+        put_type(out, type::directory_delta_with_routes);
+    else
+        put_type(out, has_era ? type::directory_delta_with_era
+                              : type::directory_delta);
+    if (it.wants_position || has_era)
+        out.put(it.as_of.era().value());
+    write_delta(out, it);
+}
+
+void write(byte_writer& out, const directory_position& it) {
+    put_type(out, type::directory_position);
+    out.put(it.run.value());
+    put(out, it.as_of);
     out.put(it.digest);
-    write_hosts(out, it.changed, era);
-    put_count(out, it.removed.size());
-    for (const host_key key : it.removed)
-        out.put(key.value());
+}
+
+void write(byte_writer& out, const directory_part_request& it) {
+    put_type(out, type::directory_part_request);
+    put(out, it.as_of);
+    out.put(it.digest);
+    out.put(it.count);
+    put_count(out, it.missing.size());
+    for (const std::uint16_t index : it.missing)
+        out.put(index);
 }
 
 void write(byte_writer& out, const directory_part& it) {
@@ -432,14 +431,19 @@
     return it;
 }
 
-directory_delta read_directory_delta(byte_reader& in, store_era era) {
-    directory_delta it;
-    it.as_of = revision(in.take<std::uint64_t>(), era);
-    it.base_digest = in.take<std::uint64_t>();
+directory_position read_directory_position(byte_reader& in) {
+    directory_position it{.run = incarnation(in.take<std::uint64_t>())};
+    it.as_of = take_revision(in);
     it.digest = in.take<std::uint64_t>();
-    it.changed = read_hosts(in, era);
-    for (auto n = in.take_count(host_key_bytes); n > 0; --n)
-        it.removed.emplace_back(in.take<std::uint64_t>());
+    return it;
+}
+
+directory_part_request read_directory_part_request(byte_reader& in) {
+    directory_part_request it{.as_of = take_revision(in)};
+    it.digest = in.take<std::uint64_t>();
+    it.count = in.take<std::uint16_t>();
+    for (auto n = in.take_count(sizeof(std::uint16_t)); n > 0; --n)
+        it.missing.push_back(in.take<std::uint16_t>());
     return it;
 }
 
@@ -501,7 +505,7 @@
     case type::peer_hello_with_reader:
         return read_peer_hello_with_reader(in);
     case type::directory_delta:
-        return read_directory_delta(in, first_era);
+        return read_delta(in, first_era, false);
     case type::peer_hello_with_era:
         return read_peer_hello_with_era(in);
     case type::directory_part_with_era: {
@@ -510,8 +514,16 @@
     }
     case type::directory_delta_with_era: {
         const store_era era = take_stated_era(in);
-        return read_directory_delta(in, era);
+        return read_delta(in, era, false);
+    }
+    case type::directory_delta_with_routes: {
+        const store_era era(in.take<std::uint64_t>());
+        return read_delta(in, era, true);
     }
+    case type::directory_position:
+        return read_directory_position(in);
+    case type::directory_part_request:
+        return read_directory_part_request(in);
     case type::barrier_request:
         return barrier_request{in.take<std::uint64_t>()};
     case type::barrier_reply:
@@ -573,11 +585,11 @@
 const char* type_name(const message& it) {
     // In the order of the variant's alternatives.
     constexpr std::array<const char*, std::variant_size_v<message>> names{
-        "hello",           "load_report",       "owned_flows",
-        "flow_query",      "flow_denial",       "packet_returned",
-        "peer_hello",      "directory_request", "directory_part",
-        "directory_delta", "barrier_request",   "barrier_reply",
-        "operator_intent"};
+        "hello",           "load_report",        "owned_flows",
+        "flow_query",      "flow_denial",        "packet_returned",
+        "peer_hello",      "directory_request",  "directory_part",
+        "directory_delta", "barrier_request",    "barrier_reply",
+        "operator_intent", "directory_position", "directory_part_request"};
     return names[it.index()];
 }
 
--- a/packages/core/src/relay/messages_test.cpp
+++ b/packages/core/src/relay/messages_test.cpp
@@ -107,7 +107,24 @@
             .version = 38,
             .evacuations = {{data_centre_id(39), revision(40, later_era)}},
             .ended = {{data_centre_id(42), revision(43, later_era)}},
-            .warmup_limits = {{service_id(41), std::chrono::seconds(2), 7.5}}}};
+            .warmup_limits = {{service_id(41), std::chrono::seconds(2), 7.5}}},
+        directory_delta{.as_of = revision(44),
+                        .changed = {make_host()},
+                        .wants_position = true},
+        directory_delta{
+            .as_of = revision(44, later_era),
+            .changed = {make_host(later_era)},
+            .removed = {host_key(45)},
+            .routing =
+                routing_delta{.at = revision(46),
+                              .version = 47,
+                              .idle_timeout = std::chrono::seconds(48),
+                              .changed = {{.address = {49, 50},
+                                           .targets = {{service_id(51), 52}}}},
+                              .removed = {{53, 54}}},
+            .wants_position = true},
+        directory_position{incarnation(55), revision(56, later_era), 57},
+        directory_part_request{revision(58, later_era), 59, 60, {61, 62}}};
 }
 
 // Whether the process of a build that knows no eras accepts the message.
--- a/packages/core/src/relay/peer_entries.cpp
+++ b/packages/core/src/relay/peer_entries.cpp
@@ -30,13 +30,17 @@
       report_(std::move(report)),
       election_({.self = options_.self,
                  .announce_interval = options_.hello_interval,
-                 .announce_delay = hello_delay}) {}
+                 .announce_delay = hello_delay}),
+      sender_(options_.sending, send_, report_),
+      receiver_(options_.receiving, send_, report_) {}
 
 void peer_entries::on_tick(const local_status& own, time_point now) {
     if (own.known.as_of() != own_as_of_) {
         own_as_of_ = own.known.as_of();
         own_changed_at_ = now;
     }
+    receiver_.on_tick(own.known, now);
+    sender_.on_tick(now);
     request_directory(own, now);
     if (!started_at_)
         started_at_ = now;
@@ -168,9 +172,14 @@
     std::erase_if(peers_, [&](const auto& it) {
         const bool is_seed =
             std::ranges::find(options_.seeds, it.first) != options_.seeds.end();
-        return !is_seed &&
-               now - std::max(it.second.seen_at, it.second.known_since) >
-                   options_.retention_time;
+        const bool is_lost = !is_seed && now - std::max(it.second.seen_at,
+                                                        it.second.known_since) >
+                                             options_.retention_time;
+        if (is_lost) {
+            sender_.forget(it.first);
+            receiver_.forget(it.first);
+        }
+        return is_lost;
     });
 }
 
@@ -226,6 +235,9 @@
     sender.unanswered_hellos = 0;
     if (hello.data_centre == options_.data_centre)
         on_reader_state(from, hello, own, now);
+    if (is_near(sender) && hello.reads_store && !own.reads_store &&
+        std::exchange(sender.informed_run, hello.run) != hello.run)
+        send_position(from, own.known);
     if (!hello.is_reply)
         send_hello(from, sender, make_hello(own, true, now));
     request_directory(own, now);
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -127,6 +127,10 @@
                          });
             },
         .report = [this](const relay::event& it) { ++event_counts_[it.name]; }};
+    relay::byte_budget_options directories =
+        relay::directory_sender_options{}.budget;
+    if (options_.link_bytes_per_second > 0)
+        directories.bytes_per_second = options_.link_bytes_per_second / 4;
     it.is_reader = true;
     it.process = std::make_unique<relay::entry_relay>(
         relay::entry_relay_options{
@@ -137,6 +141,7 @@
             .expects_evacuations = options_.expects_evacuations,
             .peers = {.limits_cold_hosts =
                           options_.warmup_bounds && !it.is_previous_build},
+            .directories = directories,
             .search = {.budget = {.bytes_per_second =
                                       options_.search_bytes_per_second}}},
         hooks);
@@ -265,7 +270,7 @@
 
 void relay_world::send_message(machine_address from, machine_address to,
                                const relay::message& message) {
-    if (concerns_limits(message) &&
+    if ((concerns_limits(message) || concerns_positions(message)) &&
         (is_previous_build(from) || is_previous_build(to)))
         return;
     const std::size_t sender = from.value() - first_entry_address;
--- a/packages/testing/src/emulator/relay_world_state.hpp
+++ b/packages/testing/src/emulator/relay_world_state.hpp
@@ -50,6 +50,14 @@
     return std::holds_alternative<relay::operator_intent>(it);
 }
 
+// Whether only builds that confirm directories exchange the message.
+inline bool concerns_positions(const relay::message& it) {
+    const auto* delta = std::get_if<relay::directory_delta>(&it);
+    return (delta != nullptr && delta->wants_position) ||
+           std::holds_alternative<relay::directory_position>(it) ||
+           std::holds_alternative<relay::directory_part_request>(it);
+}
+
 // All machines share one clock. It starts far from 0, since a time of 0 means
 // unknown.
 inline unix_milliseconds wall_clock(duration now) {
