Host processes return opening packets of a draining host

Callers saw: new flows at hosts that had said they leave (DRAIN).

Cause: only entries kept the rule. The process beside a draining host knew of the drain from the hellos of entries that know it, but delivered the opening packets of entries that did not.

Evidence: relay_transfer_test::a_lagging_entry_opens_no_flow_at_a_draining_host failed before: three of four entries cannot be told of the drain, and go on opening flows at the host.

Change: opening_gate keeps the start of the registered host that drains. A drain is final, so an entry that states the same start as ready lags; a newer start, or a restart that the process sees, ends it, and so does a drain that no entry has confirmed for 5 s. The process reports no room and returns opening packets with host_refused; their entry places them elsewhere. Only where Bounds.DrainMs is stated (docs/settings.md).

--- a/packages/core/include/arbutusport/relay/opening_gate.hpp
+++ b/packages/core/include/arbutusport/relay/opening_gate.hpp
@@ -1,6 +1,7 @@
-// The last check of opening packets, beside the host: whether its data centre
-// is evacuated, and how many a cold host bears. Entries state both with their
-// hellos; entries that lag or run an earlier build need not keep to them.
+// The last check of opening packets, beside the host: whether it drains,
+// whether its data centre is evacuated, and how many a cold host bears. Entries
+// state this with their hellos; entries that lag or run an earlier build need
+// not keep to it.
 #pragma once
 
 #include <arbutusport/relay/messages.hpp>
@@ -19,6 +20,11 @@
 };
 
 struct opening_gate_options {
+    /// The deployment bounds the time in which a draining host gets new flows.
+    bool returns_draining = false;
+    /// A drain that no entry has confirmed for this long no longer counts.
+    /// Covers six hellos from another data centre.
+    duration drain_timeout = std::chrono::seconds(5);
     /// Empty if the deployment limits no cold host.
     std::optional<warmup_bounds> warmup;
     /// An evacuation that no entry has confirmed for this long no longer
@@ -34,7 +40,12 @@
     duration rate_timeout = std::chrono::seconds(2);
 };
 
-enum class opening_verdict : std::uint8_t { deliver, evacuated, cold };
+enum class opening_verdict : std::uint8_t {
+    deliver,
+    draining,
+    evacuated,
+    cold,
+};
 
 /// @brief Reason of the event that reports a returned packet.
 const char* to_string(opening_verdict it);
@@ -60,12 +71,14 @@
     /// host_work::unlimited_room if there is no limit.
     std::uint16_t room(time_point now) const;
 
+    bool is_draining(time_point now) const;
     bool is_evacuated(time_point now) const;
     bool is_cold(time_point now) const;
     /// @brief Position of the newest request or removal of an evacuation.
     revision evacuation_position() const { return evacuation_at_; }
 
 private:
+    void adopt_registration(const hello& it, time_point now);
     void adopt_evacuation(const host_directive& it, time_point now);
     void adopt_rate(double rate, duration cold_left, bool knows_host,
                     time_point now);
@@ -76,6 +89,15 @@
     time_point process_started_;
     opening_limiter delivered_;
 
+    // The newest start of a registered host that an entry has stated, and the
+    // start of the host that drains, if any. Drains are final, so entries that
+    // state the same start as ready lag.
+    unix_milliseconds registered_start_{};
+    std::optional<unix_milliseconds> draining_start_;
+    time_point drain_confirmed_at_;
+    // The host that drained before the present one started.
+    std::optional<unix_milliseconds> departed_start_;
+
     bool evacuated_ = false;
     revision evacuation_at_;
     time_point evacuation_confirmed_at_;
--- a/packages/core/src/relay/opening_gate.cpp
+++ b/packages/core/src/relay/opening_gate.cpp
@@ -10,6 +10,8 @@
 
 const char* to_string(opening_verdict it) {
     switch (it) {
+    case opening_verdict::draining:
+        return "host_draining";
     case opening_verdict::evacuated:
         return "evacuated";
     case opening_verdict::cold:
@@ -21,6 +23,8 @@
 }
 
 void opening_gate::on_hello(const hello& it, time_point now) {
+    if (options_.returns_draining)
+        adopt_registration(it, now);
     if (it.directive)
         adopt_evacuation(*it.directive, now);
     // Entries of earlier builds do not know whether the host is cold.
@@ -53,6 +57,27 @@
     unknown_since_.reset();
 }
 
+void opening_gate::adopt_registration(const hello& it, time_point now) {
+    if (it.registered == registration::absent) {
+        // The host has drained and left.
+        if (draining_start_)
+            drain_confirmed_at_ = now;
+        return;
+    }
+    if (it.registered == registration::unknown ||
+        it.host_started < registered_start_)
+        return;
+    if (it.registered == registration::draining) {
+        if (it.host_started == departed_start_)
+            return;
+        draining_start_ = it.host_started;
+        drain_confirmed_at_ = now;
+    } else if (draining_start_ && it.host_started > *draining_start_) {
+        draining_start_.reset();
+    }
+    registered_start_ = it.host_started;
+}
+
 // The position orders requests and removals; an equal one confirms.
 void opening_gate::adopt_evacuation(const host_directive& it, time_point now) {
     if (it.as_of < evacuation_at_)
@@ -83,6 +108,8 @@
 }
 
 void opening_gate::on_host_started(time_point now) {
+    if (draining_start_)
+        departed_start_ = std::exchange(draining_start_, std::nullopt);
     if (!options_.warmup)
         return;
     previous_start_ = newest_start_;
@@ -96,6 +123,8 @@
 }
 
 opening_verdict opening_gate::admit(time_point now) {
+    if (is_draining(now))
+        return opening_verdict::draining;
     if (is_evacuated(now))
         return opening_verdict::evacuated;
     if (room(now) == 0)
@@ -108,7 +137,7 @@
 }
 
 std::uint16_t opening_gate::room(time_point now) const {
-    if (is_evacuated(now) || awaits_word(now))
+    if (is_draining(now) || is_evacuated(now) || awaits_word(now))
         return 0;
     if (!is_cold(now))
         return host_work::unlimited_room;
@@ -119,6 +148,11 @@
     return static_cast<std::uint16_t>(limit() - std::min(limit(), used));
 }
 
+bool opening_gate::is_draining(time_point now) const {
+    return draining_start_ &&
+           now - drain_confirmed_at_ <= options_.drain_timeout;
+}
+
 bool opening_gate::is_evacuated(time_point now) const {
     return evacuated_ &&
            now - evacuation_confirmed_at_ <= options_.evacuation_timeout;
--- a/packages/core/src/relay/opening_gate_test.cpp
+++ b/packages/core/src/relay/opening_gate_test.cpp
@@ -71,10 +71,26 @@
     return most;
 }
 
+hello registered_as(registration it, std::uint64_t host_started) {
+    return {.registered = it, .host_started = unix_milliseconds(host_started)};
+}
+
+opening_gate draining_gate() {
+    opening_gate it({.returns_draining = true}, start);
+    it.on_hello(registered_as(registration::ready, 7), start);
+    it.on_hello(registered_as(registration::draining, 7), settled);
+    return it;
+}
+
 } // namespace
 
 class opening_gate_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(opening_gate_test);
+    CPPUNIT_TEST(a_draining_host_gets_no_opening);
+    CPPUNIT_TEST(a_lagging_entry_does_not_end_a_drain);
+    CPPUNIT_TEST(the_next_host_is_not_taken_for_the_drained_one);
+    CPPUNIT_TEST(a_drain_that_nobody_confirms_ends);
+    CPPUNIT_TEST(without_a_bound_a_draining_host_gets_openings);
     CPPUNIT_TEST(no_second_exceeds_the_limit);
     CPPUNIT_TEST(a_window_is_full_up_to_and_including_its_end);
     CPPUNIT_TEST(deliveries_before_the_directive_count);
@@ -101,6 +117,52 @@
     // Guards against more openings than a cold host bears in some span of one
     // second, whatever the schedule, the limit and the restarts of the host's
     // process are.
+    void a_draining_host_gets_no_opening() {
+        opening_gate it = draining_gate();
+        CPPUNIT_ASSERT(it.admit(settled) == opening_verdict::draining);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, it.room(settled));
+        // It still serves its flows after its registration has gone.
+        it.on_hello(registered_as(registration::absent, 0),
+                    settled + seconds(4));
+        CPPUNIT_ASSERT(it.is_draining(settled + seconds(8)));
+    }
+
+    void a_lagging_entry_does_not_end_a_drain() {
+        opening_gate it = draining_gate();
+        for (const auto state : {registration::ready, registration::unknown})
+            it.on_hello(registered_as(state, 7), settled + seconds(1));
+        it.on_hello(registered_as(registration::ready, 6),
+                    settled + seconds(1));
+        CPPUNIT_ASSERT(it.is_draining(settled + seconds(2)));
+    }
+
+    // The host starts anew beside the process. Its clock may have been set back
+    // meanwhile, and lagging entries still state the drain before.
+    void the_next_host_is_not_taken_for_the_drained_one() {
+        opening_gate it = draining_gate();
+        it.on_hello(registered_as(registration::ready, 8), settled);
+        CPPUNIT_ASSERT(it.admit(settled) == opening_verdict::deliver);
+        it.on_hello(registered_as(registration::draining, 7), settled);
+        CPPUNIT_ASSERT(it.admit(settled) == opening_verdict::deliver);
+        opening_gate restarted = draining_gate();
+        restarted.on_host_started(settled);
+        restarted.on_hello(registered_as(registration::ready, 5), settled);
+        restarted.on_hello(registered_as(registration::draining, 7), settled);
+        CPPUNIT_ASSERT(restarted.admit(settled) == opening_verdict::deliver);
+    }
+
+    void a_drain_that_nobody_confirms_ends() {
+        opening_gate it = draining_gate();
+        CPPUNIT_ASSERT(it.is_draining(settled + seconds(5)));
+        CPPUNIT_ASSERT(!it.is_draining(settled + seconds(6)));
+    }
+
+    void without_a_bound_a_draining_host_gets_openings() {
+        opening_gate it({}, start);
+        it.on_hello(registered_as(registration::draining, 7), start);
+        CPPUNIT_ASSERT(it.admit(start) == opening_verdict::deliver);
+    }
+
     void no_second_exceeds_the_limit() {
         CPPUNIT_ASSERT(rc::check("no second exceeds the limit", [] {
             const auto rate = *rc::gen::inRange(1, 60);
--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -43,6 +43,8 @@
     double warmup_rate = 0;
     /// If empty, the processes do not limit cold hosts.
     std::optional<relay::warmup_bounds> warmup_bounds;
+    /// Host processes return opening packets of draining hosts.
+    bool returns_draining = false;
     /// See relay::entry_relay_options.
     bool expects_evacuations = false;
 };
--- a/packages/testing/src/emulator/relay_transfer_test.cpp
+++ b/packages/testing/src/emulator/relay_transfer_test.cpp
@@ -98,6 +98,7 @@
     CPPUNIT_TEST(drains_reach_all_entries_beside_a_large_configuration);
     CPPUNIT_TEST(lost_messages_delay_no_version);
     CPPUNIT_TEST(lost_messages_delay_no_large_configuration);
+    CPPUNIT_TEST(a_lagging_entry_opens_no_flow_at_a_draining_host);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -156,6 +157,29 @@
         }
     }
 
+    // The process beside a host that drains delivered opening packets of every
+    // entry, also of those that did not know of the drain (issue 39).
+    void a_lagging_entry_opens_no_flow_at_a_draining_host() {
+        constexpr std::size_t entries = 4;
+        constexpr std::size_t leaving = 2;
+        relay_world world(
+            {.entries = entries, .hosts = 6, .returns_draining = true});
+        world.run_until(startup_time);
+        for (const char* type : {"directory_delta", "directory_part"})
+            world.drop_messages(type, true);
+        world.drain_host(leaving);
+        const duration drained_at = world.now();
+        const auto flows = open_flows(world, 1200, entries);
+        std::size_t lagging = 0;
+        for (std::size_t i = 0; i < entries; ++i)
+            lagging += count_draining_hosts(world, i) == 0 ? 1 : 0;
+        CPPUNIT_ASSERT_EQUAL(entries - 1, lagging);
+        for (const auto it : flows)
+            CPPUNIT_ASSERT(world.is_open(it));
+        for (const duration it : world.openings_at(leaving))
+            CPPUNIT_ASSERT(it <= drained_at + apply_bound);
+    }
+
     void lost_messages_delay_no_large_configuration() {
         for (const std::uint64_t seed : {1, 2, 3}) {
             large_configuration it({.entries = 8,
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -195,7 +195,8 @@
             .run = incarnation(++it.process_run),
             .service = it.service,
             .started = wall_clock(now_),
-            .opening = {.warmup = options_.warmup_bounds}},
+            .opening = {.returns_draining = options_.returns_draining,
+                        .warmup = options_.warmup_bounds}},
         hooks, time());
 }
 
