Egress: whole directories take from the rate of uploads

Cause: parts of directories were sent besides the packets that fill the link, so that a full link lost some of them (a limit named in docs/design/egress.md).

Change: egress_scheduler::charge. Full packets of uploads leave room for the parts; small packets are sent at once as before.

Evidence: directories_and_uploads_share_the_link: without the charge uploads and directories together exceed the link (0.9 + 0.25 of it).

--- a/packages/core/include/arbutusport/relay/egress_scheduler.hpp
+++ b/packages/core/include/arbutusport/relay/egress_scheduler.hpp
@@ -17,8 +17,8 @@
 
 struct egress_options {
     double link_bytes_per_second = 125e6;
-    /// Share of the link for clients' packets; the rest is for own messages
-    /// and what a timer that fires late sends at once.
+    /// Share of the link for clients' packets and whole directories; the rest
+    /// is for other messages and what a timer that fires late sends at once.
     double usable_share = 0.9;
     /// Bytes that may be sent at once, as a time at the usable rate. Somewhat
     /// more than the interval of ticks.
@@ -45,6 +45,9 @@
     /// @brief Sends the packet now or later. Returns false if it was dropped.
     bool submit(machine_address to, routing_mark mark, byte_view datagram,
                 time_point now);
+    /// @brief Takes the bytes of a datagram that was sent besides, so that bulk
+    /// packets leave room for it.
+    void charge(std::size_t datagram_bytes, time_point now);
     /// @brief Sends what the link can take. Must be called after each batch of
     /// packets and with each tick.
     void flush(time_point now);
--- a/packages/core/src/relay/egress_scheduler.cpp
+++ b/packages/core/src/relay/egress_scheduler.cpp
@@ -30,8 +30,8 @@
 void egress_scheduler::refill(time_point now) {
     const duration passed = std::max(now - updated_at_, duration::zero());
     updated_at_ = now;
-    // Small packets may take the link's whole capacity, but leave no debt that
-    // holds up bulk packets for longer than these may wait.
+    // Small packets and own messages may take the link's whole capacity, but
+    // leave no debt that holds up bulk packets for longer than these may wait.
     available_bytes_ =
         std::clamp(available_bytes_ + bytes_in(passed),
                    -bytes_in(options_.max_wait), bytes_in(options_.burst));
@@ -62,6 +62,11 @@
     return true;
 }
 
+void egress_scheduler::charge(std::size_t datagram_bytes, time_point now) {
+    refill(now);
+    available_bytes_ -= wire_bytes(datagram_bytes);
+}
+
 void egress_scheduler::flush(time_point now) {
     if (queue_.empty())
         return;
--- a/packages/core/src/relay/egress_scheduler_test.cpp
+++ b/packages/core/src/relay/egress_scheduler_test.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(the_queue_is_bounded);
     CPPUNIT_TEST(small_packets_above_the_rate_do_not_stop_uploads_for_long);
     CPPUNIT_TEST(a_time_that_goes_back_is_ignored);
+    CPPUNIT_TEST(directories_and_uploads_share_the_link);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -76,6 +77,27 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, it.scheduler().delayed());
     }
 
+    // Load: uploads of twice the link's rate while a directory is sent to many
+    // entries. Guards against parts that a full link loses (issue 39).
+    void directories_and_uploads_share_the_link() {
+        egress it(narrow_link);
+        std::size_t directory_bytes = 0;
+        for (int ms = 0; ms < 1000; ++ms) {
+            const time_point now = start + milliseconds(ms);
+            it.submit(bulk, now);
+            it.submit(bulk, now);
+            if (ms % 4 == 0) {
+                it.scheduler().charge(bulk, now);
+                directory_bytes += bulk;
+            }
+            it.scheduler().flush(now);
+        }
+        CPPUNIT_ASSERT(static_cast<double>(directory_bytes) >
+                       narrow_link * 0.24);
+        CPPUNIT_ASSERT(static_cast<double>(it.sent_bytes() + directory_bytes) <
+                       narrow_link);
+    }
+
     // Load: uploads of twice the link's rate beside small requests. Guards
     // against requests that are lost or late because of them.
     void small_packets_pass_waiting_uploads() {
