Directory receivers give up only after requests that bring no part

A limit on all requests of a transfer would end one that makes progress on a link that loses much. Four requests in a row without a part end it: the sender has ended, or runs a build that drops them. Found by reading; directory_transfer_test::an_outdated_transfer_is_given_up checks the limit.

--- a/packages/core/include/arbutusport/relay/directory_receiver.hpp
+++ b/packages/core/include/arbutusport/relay/directory_receiver.hpp
@@ -18,8 +18,9 @@
     /// longer than the interval in which a sender with a narrow link sends.
     duration part_timeout = std::chrono::milliseconds(60);
     duration request_interval = std::chrono::milliseconds(100);
-    /// Requests after which the directory is given up.
-    std::size_t max_requests = 8;
+    /// After this many requests in a row that brought no part, the directory is
+    /// given up: its sender has ended, or runs a build that drops them.
+    std::size_t max_unanswered = 4;
 };
 
 /// @brief Not thread-safe.
@@ -52,6 +53,8 @@
         time_point part_at;
         time_point requested_at;
         std::size_t requests = 0;
+        // Since the last part.
+        std::size_t unanswered = 0;
         // Of the last complete directory, copies of whose parts are ignored.
         directory_part complete;
     };
--- a/packages/core/src/relay/directory_receiver.cpp
+++ b/packages/core/src/relay/directory_receiver.cpp
@@ -45,6 +45,7 @@
         it.requests = 0;
     }
     it.part_at = now;
+    it.unanswered = 0;
     it.parts[part.index] = part.content;
     if (it.parts.size() < part.count)
         return std::nullopt;
@@ -75,7 +76,7 @@
             continue;
         if (known.as_of() >= it.header.as_of) {
             it.parts.clear();
-        } else if (it.requests >= options_.max_requests) {
+        } else if (it.unanswered >= options_.max_unanswered) {
             report_incomplete(machine, it, now);
             it.parts.clear();
         } else {
@@ -94,6 +95,7 @@
         if (!it.parts.contains(i))
             out.missing.push_back(i);
     ++it.requests;
+    ++it.unanswered;
     it.requested_at = now;
     send_(from, out);
 }
