Entries: the length of a watch follows from the stated bounds

Cause: a watch lasted 3 s on every deployment, and 0.7 s more until it counted as lost, which is longer than a bound of 3 s.

Change: watch_wait_within: a watch ends 1.3 s before the stricter one of Bounds.ConfigApplyMs and Bounds.DrainMs, after 1 to 3 s. Bounds of 4.3 s and more change nothing.

--- a/packages/core/include/arbutusport/relay/store_reader.hpp
+++ b/packages/core/include/arbutusport/relay/store_reader.hpp
@@ -12,8 +12,8 @@
 namespace arbutusport::relay {
 
 struct store_reader_options {
-    /// Duration of a watch. A lost answer is detected after this wait, and a
-    /// change has to take effect within 3 s of its end.
+    /// Duration of a watch. A connection that has gone silent is noticed after
+    /// it.
     duration watch_wait = std::chrono::milliseconds(3000);
     /// Watches that may follow one another without a pause, and the interval
     /// at which further ones may start. Each watch that returns changes is a
@@ -31,6 +31,11 @@
     duration max_backoff = std::chrono::milliseconds(1000);
 };
 
+/// @brief The longest watch with which a change that is not answered, because
+/// the connection has gone silent, is in force within `bound` of its
+/// acknowledgement: 1 to 3 s; 3 s if the bound is 0.
+duration watch_wait_within(duration bound);
+
 struct store_call {
     enum class kind : std::uint8_t { listing, watch };
 
--- a/packages/core/src/relay/store_reader.cpp
+++ b/packages/core/src/relay/store_reader.cpp
@@ -7,6 +7,17 @@
 
 namespace arbutusport::relay {
 
+duration watch_wait_within(duration bound) {
+    constexpr duration longest = store_reader_options{}.watch_wait;
+    constexpr duration shortest = std::chrono::seconds(1);
+    // The slack of a watch, the next connection, one read, and the way to the
+    // other entries.
+    constexpr duration rest = std::chrono::milliseconds(1300);
+    return bound == duration::zero()
+               ? longest
+               : std::clamp(bound - rest, shortest, longest);
+}
+
 store_call store_reader::next(time_point now) {
     store_call it{.after = after_,
                   .wait = options_.watch_wait,
