Directory transfers: forget entries that are known only by requests

State of a transfer to an entry from which no hello came was kept for good. Such entries are peers now, so they are forgotten after the retention time.

--- a/packages/core/src/relay/peer_directories.cpp
+++ b/packages/core/src/relay/peer_directories.cpp
@@ -74,12 +74,14 @@
 
 void peer_entries::on_request(machine_address from, const directory& known,
                               time_point now) {
+    peers_.try_emplace(from, peer{.known_since = now});
     sender_.on_request(from, known, now);
 }
 
 void peer_entries::on_part_request(machine_address from,
                                    const directory_part_request& it,
                                    const directory& known, time_point now) {
+    peers_.try_emplace(from, peer{.known_since = now});
     sender_.on_part_request(from, it, known, now);
 }
 
@@ -124,6 +126,7 @@
 std::optional<directory_view> peer_entries::on_part(machine_address from,
                                                     const directory_part& part,
                                                     time_point now) {
+    peers_.try_emplace(from, peer{.known_since = now});
     return receiver_.on_part(from, part, now);
 }
 
