Readers send nothing to entries whose directory is ahead of theirs

A follower that had requested a newer directory from another data centre was sent the reader's older one, up to seven times. It is not adopted, so callers saw nothing; it takes a narrow link. Found by reading; directory_transfer_test::a_recipient_that_is_ahead_gets_nothing failed before.

--- a/packages/core/src/relay/directory_sender.cpp
+++ b/packages/core/src/relay/directory_sender.cpp
@@ -126,6 +126,9 @@
             to.sending.reset();
         return;
     }
+    // It has learned from another data centre what was not read here yet.
+    if (it.as_of > last->as_of)
+        return;
     if (to.sending) {
         // What has begun is completed: otherwise a series of changes would
         // keep the recipient from ever having a complete directory.
--- a/packages/core/src/relay/directory_transfer_test.cpp
+++ b/packages/core/src/relay/directory_transfer_test.cpp
@@ -125,6 +125,7 @@
     CPPUNIT_TEST(a_change_of_routes_is_one_datagram);
     CPPUNIT_TEST(a_change_is_repeated_until_it_is_confirmed);
     CPPUNIT_TEST(repetitions_end);
+    CPPUNIT_TEST(a_recipient_that_is_ahead_gets_nothing);
     CPPUNIT_TEST(an_unknown_base_gets_the_whole_directory);
     CPPUNIT_TEST(recipients_of_earlier_builds_get_no_change_of_routes);
     CPPUNIT_TEST(whole_directories_keep_to_the_send_limit);
@@ -170,6 +171,18 @@
         CPPUNIT_ASSERT(it.push(seconds(10), base).empty());
     }
 
+    // An entry may have learned from another data centre what the reader has
+    // not read yet.
+    void a_recipient_that_is_ahead_gets_nothing() {
+        sending_entry it(10);
+        it.push(milliseconds(50), it.known());
+        directory ahead = it.known();
+        ahead.adopt_listing(revision(100),
+                            {{revision(99), host_record{.key = host_key(1)}}},
+                            it.now);
+        CPPUNIT_ASSERT(it.push(seconds(2), ahead).empty());
+    }
+
     void an_unknown_base_gets_the_whole_directory() {
         sending_entry it(1640);
         const auto parts = parts_of(it.push(seconds(1), directory()));
--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -28,9 +28,9 @@
     duration delay = std::chrono::milliseconds(1);
     /// Fraction of packets and messages that are dropped.
     double loss = 0;
-    /// Speed of each entry's link for the messages that it sends, which it
-    /// knows, and how many
-    /// bytes may wait for it; what exceeds them is lost. 0: no limit.
+    /// Speed of each entry's link for the messages that it sends, which the
+    /// entry knows, and how many bytes may wait for it; what exceeds them is
+    /// lost. 0: no limit.
     double link_bytes_per_second = 0;
     std::size_t link_queue_bytes = 64 * 1024;
     /// The service that reuse_address() and change_route() use.
