--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -362,6 +362,7 @@
         self.listener = None
         self.connections = set()
         self.runs = {}
+        self.entry = None
 
     async def start(self):
         self.born = int(time.time() * 1000)
@@ -407,12 +408,19 @@
         self.world.record("host", self.name, "ended")
 
     def register(self):
+        """Writes the host's entry. The entry changes only when more than
+        `Seq` changes."""
         self.seq += 1
-        self.world.store.put("servers/" + self.id, {
+        entry = {
             "Service": self.service,
             "Address": "%s:%d" % (self.ip, PORT_APP), "Zone": self.zone,
             "Version": "v1", "Slots": self.slots, "State": self.state,
-            "WarmupLeftMs": 0, "Seq": self.seq, "born": self.born})
+            "WarmupLeftMs": 0, "born": self.born}
+        if entry != self.entry or "servers/" + self.id not in \
+                self.world.store.items:
+            self.entry = entry
+            self.world.store.put("servers/" + self.id,
+                                 dict(entry, Seq=self.seq))
 
     def unregister(self):
         self.world.store.remove("servers/" + self.id)
@@ -604,7 +612,8 @@
                 for timer in self.timers:
                     timer.cancel()
                 self.opened_at = time.monotonic()
-                self.opened.set_result(True)
+                if not self.opened.done():
+                    self.opened.set_result(True)
                 self.conn.send_ack()
             return
         if self.conn is not None:
