--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,65 +1,89 @@
-"""The node beside a host is stopped and started again (planned work). Later
-another writer puts an entry into the store whose service is not named in the
-configuration and whose address is that of the host."""
+"""Hosts are restarted in place, one after the other, while the entry of their
+zone is stopped and started again in turn: planned work only."""
 
 import asyncio
 import os
 import sys
-import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
 import standins as s  # noqa: E402
 
 ROUTE = ("198.18.0.1", 8443)
-THINK_S = (4.0, 11.0)
-CALM_S = 6.0  # longer than StabilityWindowMs
+ROUNDS = 13
+PERIOD_S = 6.6
+DRAINS_ON_S = 4.0     # the host serves on after DrainMs
+AWAY_S = 2.2          # between the end and the next start; ReuseAfterS is 2
+NODE_ENDS_S = 0.3     # the node gets SIGTERM so long after its host has ended
+ENTRY_LEAD_S = 0.2    # the entry gets SIGTERM so long before the host's start
+NODE_STARTS_S = 0.1   # the node starts so long after its host
+USERS = 4             # for each client
 
 
 async def user(world, client):
-    """A person at work: a request on a long flow every few seconds."""
-    flow = None
-    await asyncio.sleep(world.random.uniform(0, 3))
+    """Opens a flow for six requests, then the next one."""
     while True:
-        if flow is None or flow.ended or flow.ended_by_host:
-            if flow is not None:
-                flow.close()
-            flow = client.open(ROUTE)
-            if not await flow.opened:
-                flow = None
-                await asyncio.sleep(0.2)
-                continue
-        await flow.ask(work_ms=20, size=600, body=b"y" * 900, limit_s=1.2,
-                       kind="POST")
-        await asyncio.sleep(world.random.uniform(*THINK_S))
+        flow = client.open(ROUTE)
+        if await flow.opened:
+            for _ in range(6):
+                if flow.ended or flow.ended_by_host:
+                    break
+                await flow.ask(work_ms=10, size=600, body=b"y" * 900,
+                               limit_s=1.2, kind="POST")
+                await asyncio.sleep(world.random.uniform(0.05, 0.2))
+            flow.close()
+        await asyncio.sleep(world.random.uniform(0.1, 0.4))
+
+
+async def restart_in_place(world, host, node):
+    """A planned shutdown; the node gets SIGTERM after its host has terminated.
+    Both start again, the host under the Id that it had."""
+    host.drain()
+    await asyncio.sleep(world.bounds["DrainMs"] / 1000)
+    host.close_listener()
+    await asyncio.sleep(DRAINS_ON_S)
+    host.unregister()
+    host.end()
+    await asyncio.sleep(NODE_ENDS_S)
+    node.wanted = False
+    node.signal(s.signal.SIGTERM)
+    await asyncio.sleep(AWAY_S - NODE_ENDS_S)
+    host.flows.clear()
+    host.ended.clear()
+    await host.start()
+    await asyncio.sleep(NODE_STARTS_S)
+    await node.start()
 
 
 async def case(holder):
     seed = int(os.environ.get("SEED", os.getpid()))
     world = holder["world"] = s.World(
         HERE, ["z-a", "z-b"], ["z-a", "z-a", "z-b"],
-        [("app", "z-a"), ("app", "z-a"), ("app", "z-b")],
-        ["z-a"] * 8 + ["z-b"] * 4, seed)
+        [("app", "z-a")] * 2 + [("app", "z-b")] * 4,
+        ["z-a"] * 2 + ["z-b"] * 14, seed)
     world.configure(7, [ROUTE + ("app", "non_idempotent")])
     await world.start()
     await world.until_ready()
-    users = [asyncio.ensure_future(user(world, it)) for it in world.clients
-             for _ in range(2)]
-    await asyncio.sleep(12)
-    for host, node in zip(world.hosts, world.sides):
-        await node.stop_planned()
-        await asyncio.sleep(CALM_S)
+    tasks = [asyncio.ensure_future(user(world, it)) for it in world.clients
+             for _ in range(USERS)]
+    await asyncio.sleep(2)
+    entry = world.entries[2]
+    lead = world.bounds["DrainMs"] / 1000 + DRAINS_ON_S + AWAY_S
+    restarts = []
+
+    async def one(i):
+        await asyncio.sleep(PERIOD_S * i)
+        n = 2 + i % 4
+        restarts.append(asyncio.ensure_future(
+            restart_in_place(world, world.hosts[n], world.sides[n])))
+        await asyncio.sleep(lead - ENTRY_LEAD_S)
         if world.trouble:
-            world.record("another writer puts servers/probe-%d:" % host.index,
-                         "address of", host.name, "service not named")
-            world.store.put("servers/probe-%d" % host.index, {
-                "Service": "smoke-test",
-                "Address": "%s:%d" % (host.ip, s.PORT_APP),
-                "Zone": host.zone, "Version": "v1", "Slots": 1,
-                "State": "ready", "WarmupLeftMs": 0, "Seq": 1,
-                "born": int(time.time() * 1000)})
-        await asyncio.sleep(8)
-    for it in users:
+            await entry.stop_planned()
+
+    await asyncio.gather(*[one(i) for i in range(ROUNDS)])
+    await asyncio.gather(*restarts)
+    await asyncio.sleep(2)
+    for it in tasks:
         it.cancel()
 
 
