--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -996,6 +997,8 @@
     async def close(self):
         for it in self.entries + self.sides:
             await it.stop_for_good()
+        if not os.environ.get("KEEP_LOGS"):
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class CannotRun(Exception):
