Log when and why a host process takes its flow table for complete

A host process that denies flows did not say since when it takes its table for complete, nor by whose word.

flow_table_complete names the reason, the entry whose hello stated the start of the host, and both starts. Logged once per change.

--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -178,6 +178,8 @@
     void measure_host_data(flow_state& flow, const segment& packet,
                            time_point now);
     bool knows_all_flows(time_point now) const;
+    void claim_all_flows(const char* reason, machine_address from,
+                         std::int64_t host_started_ms, time_point now);
     load_report make_report(time_point now, const entry& recipient);
     host_work make_work(time_point now) const;
     std::uint16_t opening_room_share(time_point now) const;
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -52,7 +52,10 @@
     gate_.on_hello(*hello_message, now);
     if (hello_message->host_started.value() + options_.restart_gap_ms >=
         options_.started.value())
-        flows_complete_since_ = now - idle_timeout_;
+        claim_all_flows(
+            "host_started_later", from,
+            static_cast<std::int64_t>(hello_message->host_started.value()),
+            now);
     if (state_ == host_state::listener_closed && flows_.empty() &&
         refusal_shows_end(now))
         end_all_flows(now);
@@ -189,6 +192,22 @@
         hooks_.send(additional_entry, announcement);
 }
 
+// From now on flows that are missing from the table are denied.
+void host_relay::claim_all_flows(const char* reason, machine_address from,
+                                 std::int64_t host_started_ms, time_point now) {
+    if (!knows_all_flows(now))
+        hooks_.report({.severity = event::level::info,
+                       .name = "flow_table_complete",
+                       .reason = reason,
+                       .machine = from,
+                       .value = flows_.size(),
+                       .inputs = {{{"host_started_ms", host_started_ms},
+                                   {"process_started_ms",
+                                    static_cast<std::int64_t>(
+                                        options_.started.value())}}}});
+    flows_complete_since_ = now - idle_timeout_;
+}
+
 // Within the idle timeout every live flow has sent at least one packet.
 bool host_relay::knows_all_flows(time_point now) const {
     return now - flows_complete_since_ >= idle_timeout_;
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -282,7 +282,7 @@
 void host_relay::on_host_accepted(time_point now) {
     // This process has missed no flow of a host that has just started.
     if (state_ != host_state::alive) {
-        flows_complete_since_ = now - idle_timeout_;
+        claim_all_flows("host_listens_again", machine_address(), 0, now);
         gate_.on_host_started(now);
     }
     set_state(host_state::alive, now);
