A record of a service without route describes no host

Records in state draining at the hosts' addresses kept new flows from opening.

Cause: directory::newest_at returned the newest record at an address, of any service, and entries stated its start, state and slots to the process beside the host as facts about that host.

Change: directory::host_at. A record describes the host at its address if a route names its service, or if the process there has named that service itself, as after a change of routes; a tag of a routed service stands for that service alone. An entry states nothing to a process that has named another service than the record's. An entry that has just started asks the processes of records without route once whether they run.

--- a/packages/core/include/arbutusport/relay/directory.hpp
+++ b/packages/core/include/arbutusport/relay/directory.hpp
@@ -7,6 +7,9 @@
 #include <arbutusport/base/ids.hpp>
 #include <arbutusport/base/time.hpp>
 #include <arbutusport/relay/revision.hpp>
+#include <arbutusport/relay/segment.hpp>
+
+#include <boost/container/small_vector.hpp>
 
 #include <cstdint>
 #include <map>
@@ -14,6 +17,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -249,9 +253,19 @@
     std::vector<warmup_limit> warmup_limits() const;
     const routing_document& routing() const { return routing_; }
     const std::map<host_key, host>& hosts() const { return hosts_; }
-    /// @brief The newest record of a host at the IPv4 address, of any service;
-    /// null if there is none.
-    const host* newest_at(std::uint32_t address) const;
+    /// @brief Whether a route names the service, at any weight.
+    bool is_routed(service_id service) const {
+        return routed_.contains(service);
+    }
+    /// @brief The newest record that describes the host at the IPv4 address;
+    /// null if there is none. `reported` is the service that the process beside
+    /// the host has named, if any.
+    ///
+    /// A record of a service that no route names may be another writer's. It
+    /// counts only if the process itself has named that service, which may have
+    /// lost its routes while its hosts still serve flows.
+    const host* host_at(std::uint32_t address,
+                        std::optional<service_tag> reported) const;
 
 private:
     void apply_document(revision at, const routing_document& document);
@@ -282,8 +296,13 @@
     std::uint64_t warmup_limits_version_ = 0;
     bool knows_warmup_limits_ = false;
     std::map<host_key, host> hosts_;
-    // The newest host at each address; always matches `hosts_`.
-    std::unordered_map<std::uint32_t, host_key> newest_by_address_;
+    // The records of each address; always match `hosts_`.
+    std::unordered_map<std::uint32_t,
+                       boost::container::small_vector<host_key, 1>>
+        by_address_;
+    // The services that `routes_` name, and their tags.
+    std::unordered_set<service_id> routed_;
+    std::unordered_set<service_tag> routed_tags_;
     std::uint64_t digest_ = 0;
     struct removed_host {
         unix_milliseconds started;
--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -92,6 +92,8 @@
         bool has_reported = false;
         /// Taken from the registration until the process reports its own.
         service_tag service;
+        /// `service` is from a report, of any run of the process.
+        bool has_named_service = false;
         data_centre_id data_centre;
         time_point heard_at;
         /// Since when the process is followed, or unregistered.
@@ -124,6 +126,15 @@
     /// @brief Adds the machines of the directory's hosts; machines that are no
     /// longer registered are kept while they answer.
     void update_from_directory(const directory& known, time_point now);
+    /// @brief Updates one machine whose process has named another service than
+    /// was known; see on_report().
+    void update_from_directory(const directory& known, machine_address machine);
+    /// @brief The record that describes the host on the machine; null if there
+    /// is none.
+    const directory::host* record_of(const directory& known,
+                                     machine_address machine) const;
+    /// @brief False if the process on the machine has named another service.
+    bool may_describe(const host_record& it, machine_address machine) const;
     /// @brief Adds a process without a registered host that another entry
     /// reported.
     void add_departed(const departed_host& it, time_point now);
@@ -143,7 +154,10 @@
     hello_kinds next_hello(machine_address machine, time_point now);
     /// @brief Makes the hellos to the processes of a data centre due at once.
     void hasten_hellos(data_centre_id data_centre);
-    void on_report(machine_address from, const load_report& it, time_point now);
+    /// @brief Returns true if the machine must be updated from the directory:
+    /// the process names its service for the first time without a registered
+    /// host, or another one than was known.
+    bool on_report(machine_address from, const load_report& it, time_point now);
     void on_flows(machine_address from, const owned_flows& it, time_point now);
     void on_placed(machine_address machine, time_point now);
     void on_answered(machine_address machine);
@@ -187,6 +201,8 @@
 private:
     struct service_hosts;
 
+    void register_host(peer& one, const directory::host& it);
+    void ask_unrouted(const directory& known, time_point now);
     void forget_departed(time_point now);
     void follow(peer& it, bool followed, time_point now);
     bool has_expired_openings(const peer& it, time_point now) const;
@@ -207,6 +223,8 @@
     host_peer_options options_;
     std::unordered_map<machine_address, peer> peers_;
     time_point selected_at_;
+    // The processes of hosts without a route were asked whether they run.
+    bool asked_unrouted_ = false;
 };
 
 } // namespace arbutusport::relay
--- a/packages/core/src/relay/directory.cpp
+++ b/packages/core/src/relay/directory.cpp
@@ -170,7 +170,13 @@
     routing_ = std::move(document);
     // A peer's copy lacks the terms; the known ones are kept.
     const auto previous = std::exchange(routes_, {});
+    routed_.clear();
+    routed_tags_.clear();
     for (const route& it : routing_.routes) {
+        for (const weighted_service& target : it.targets) {
+            routed_.insert(target.service);
+            routed_tags_.insert(make_service_tag(target.service));
+        }
         route& added = routes_.emplace(it.address, it).first->second;
         const auto known = previous.find(it.address);
         if (known != previous.end() && added.terms == route_terms())
@@ -283,20 +289,33 @@
             !record.draining);
 }
 
-const directory::host* directory::newest_at(std::uint32_t address) const {
-    const auto it = newest_by_address_.find(address);
-    return it == newest_by_address_.end() ? nullptr : &hosts_.at(it->second);
+const directory::host*
+directory::host_at(std::uint32_t address,
+                   std::optional<service_tag> reported) const {
+    const auto found = by_address_.find(address);
+    if (found == by_address_.end())
+        return nullptr;
+    // A tag that a routed service has stands for that service.
+    const bool admits_unrouted = reported && !routed_tags_.contains(*reported);
+    const host* newest = nullptr;
+    for (const host_key key : found->second) {
+        const host& it = hosts_.at(key);
+        const service_id service = it.record.service;
+        if (!is_routed(service) &&
+            !(admits_unrouted && make_service_tag(service) == *reported))
+            continue;
+        if (newest == nullptr || is_older(*newest, it))
+            newest = &it;
+    }
+    return newest;
 }
 
 void directory::update_derived() {
     digest_ = hash_of_position(0, routing_at_);
-    newest_by_address_.clear();
+    by_address_.clear();
     for (const auto& [key, it] : hosts_) {
         digest_ = hash_combine(digest_, hash_of_position(key.value(), it.at));
-        const auto [position, is_first] =
-            newest_by_address_.try_emplace(it.record.address.address, key);
-        if (!is_first && is_older(hosts_.at(position->second), it))
-            position->second = key;
+        by_address_[it.record.address.address].push_back(key);
     }
 }
 
--- a/packages/core/src/relay/entry_control.cpp
+++ b/packages/core/src/relay/entry_control.cpp
@@ -87,7 +87,8 @@
 void entry_relay::on_report(machine_address from, const load_report& it,
                             time_point now) {
     const bool was_dead = peers_.host_is_dead(from);
-    peers_.on_report(from, it, now);
+    if (peers_.on_report(from, it, now))
+        peers_.update_from_directory(directory_, from);
     // Host processes list the entries of the recipient's data centre.
     for (const machine_address entry : it.entries)
         entries_.add_near_entry(entry, now);
--- a/packages/core/src/relay/entry_evacuation.cpp
+++ b/packages/core/src/relay/entry_evacuation.cpp
@@ -141,7 +141,8 @@
 
 bool entry_relay::has_hosts(data_centre_id it) const {
     return std::ranges::any_of(directory_.hosts(), [&](const auto& one) {
-        return one.second.record.data_centre == it;
+        return one.second.record.data_centre == it &&
+               directory_.is_routed(one.second.record.service);
     });
 }
 
@@ -173,7 +174,8 @@
     }
     std::set<data_centre_id> present;
     for (const auto& [key, it] : directory_.hosts())
-        present.insert(it.record.data_centre);
+        if (directory_.is_routed(it.record.service))
+            present.insert(it.record.data_centre);
     if (!refused_with_) {
         report({.severity = event::level::warning,
                 .name = "evacuations_refused",
--- a/packages/core/src/relay/entry_hellos.cpp
+++ b/packages/core/src/relay/entry_hellos.cpp
@@ -27,10 +27,16 @@
              .data_centre = options_.data_centre,
              .idle_timeout = directory_.idle_timeout(),
              .wants_flows = !peers_.find(machine)->sent_flows};
-    const directory::host* host = directory_.newest_at(machine.value());
+    const directory::host* host = peers_.record_of(directory_, machine);
+    // The record is of the service that takes over the address; the process of
+    // the former one may still run.
+    const bool is_other =
+        host != nullptr && !peers_.may_describe(host->record, machine);
+    if (is_other)
+        host = nullptr;
     if (host != nullptr)
         it.host_started = host->record.started;
-    if (!directory_.is_store_lost())
+    if (!directory_.is_store_lost() && !is_other)
         it.registered = host == nullptr         ? registration::absent
                         : host->record.draining ? registration::draining
                                                 : registration::ready;
--- a/packages/core/src/relay/host_candidates.cpp
+++ b/packages/core/src/relay/host_candidates.cpp
@@ -12,9 +12,7 @@
 
 // Whether a host of another service has registered at the address since, and
 // the process there cannot be told apart by its tag.
-bool is_taken_over(const directory& known, const directory::host& host) {
-    const directory::host* newest =
-        known.newest_at(host.record.address.address);
+bool is_taken_over(const directory::host* newest, const directory::host& host) {
     return newest != nullptr && newest->record.service != host.record.service &&
            make_service_tag(newest->record.service) ==
                make_service_tag(host.record.service);
@@ -32,7 +30,7 @@
             options_.is_evacuated(host.record.data_centre))
             continue;
         const auto it = make_candidate(known, host, now);
-        if (!it || is_taken_over(known, host))
+        if (!it || is_taken_over(record_of(known, it->machine), host))
             continue;
         const peer* known_peer = find(it->machine);
         const bool followed = known_peer == nullptr || known_peer->followed;
--- a/packages/core/src/relay/host_changes.cpp
+++ b/packages/core/src/relay/host_changes.cpp
@@ -41,7 +41,10 @@
                            o.second.service != host.service;
                 });
             report_host("host_learned",
-                        is_reused ? "address_reused" : "registered", it);
+                        !known.is_routed(it.service) ? "service_without_route"
+                        : is_reused                  ? "address_reused"
+                                                     : "registered",
+                        it);
         }
         const bool was_draining = old != hosts_.end() && old->second.draining;
         const bool was_lapsed = old != hosts_.end() && old->second.lapsed;
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -62,26 +62,16 @@
     for (const auto& [key, it] : known.hosts()) {
         const machine_address machine(it.record.address.address);
         // One record for each machine decides.
-        if (known.newest_at(machine.value()) != &it)
+        if (record_of(known, machine) != &it)
             continue;
         peer& one = peers_
                         .try_emplace(machine, peer{.followed = false,
                                                    .known_since = now})
                         .first->second;
-        one.registered = true;
-        if (!one.has_reported)
-            one.service = make_service_tag(it.record.service);
-        one.data_centre = it.record.data_centre;
-        // The host process must know soon that its host may close its listener.
-        if (std::exchange(one.draining, it.record.draining) !=
-            it.record.draining)
-            one.hello_at = {};
-        // Its process limits the opening packets of a cold host.
-        const std::pair registration(key, it.record.started);
-        if (std::exchange(one.registered_as, registration) != registration &&
-            options_.limits_cold_hosts && it.record.warmup_left > duration())
-            one.hello_at = {};
+        register_host(one, it);
     }
+    if (known.is_ready() && !std::exchange(asked_unrouted_, true))
+        ask_unrouted(known, now);
     // A host serves its flows after its registration vanished, so its process
     // is followed until it no longer answers.
     for (auto& [machine, it] : peers_)
@@ -91,6 +81,60 @@
     forget_departed(now);
 }
 
+void host_peers::update_from_directory(const directory& known,
+                                       machine_address machine) {
+    const auto found = peers_.find(machine);
+    if (found == peers_.end())
+        return;
+    if (const directory::host* it = record_of(known, machine))
+        register_host(found->second, *it);
+    else
+        found->second.registered = false;
+    found->second.hello_at = {};
+}
+
+void host_peers::register_host(peer& one, const directory::host& it) {
+    one.registered = true;
+    // What a process that is not followed has named becomes outdated.
+    if (!one.has_named_service || !one.followed)
+        one.service = make_service_tag(it.record.service);
+    one.data_centre = it.record.data_centre;
+    // The host process must know soon that its host may close its listener.
+    if (std::exchange(one.draining, it.record.draining) != it.record.draining)
+        one.hello_at = {};
+    // Its process limits the opening packets of a cold host.
+    const std::pair registration(it.record.key, it.record.started);
+    if (std::exchange(one.registered_as, registration) != registration &&
+        options_.limits_cold_hosts && it.record.warmup_left > duration())
+        one.hello_at = {};
+}
+
+// An entry that has just started knows hosts whose service has lost its routes
+// by their records only. A process that runs there answers, and is then kept
+// like any other without a registered host.
+void host_peers::ask_unrouted(const directory& known, time_point now) {
+    for (const auto& [key, it] : known.hosts())
+        if (!known.is_routed(it.record.service))
+            add_departed({machine_address(it.record.address.address),
+                          make_service_tag(it.record.service)},
+                         now);
+}
+
+const directory::host* host_peers::record_of(const directory& known,
+                                             machine_address machine) const {
+    const peer* it = find(machine);
+    return known.host_at(machine.value(), it != nullptr && it->has_named_service
+                                              ? std::optional(it->service)
+                                              : std::nullopt);
+}
+
+bool host_peers::may_describe(const host_record& it,
+                              machine_address machine) const {
+    const peer* known = find(machine);
+    return known == nullptr || !known->has_named_service ||
+           known->service == make_service_tag(it.service);
+}
+
 void host_peers::follow(peer& it, bool followed, time_point now) {
     if (it.followed == followed)
         return;
@@ -113,7 +157,7 @@
     for (const auto& [key, it] : known.hosts()) {
         const machine_address machine(it.record.address.address);
         const auto found = peers_.find(machine);
-        if (found == peers_.end())
+        if (found == peers_.end() || record_of(known, machine) != &it)
             continue;
         const peer& one = found->second;
         service_hosts& here = services[it.record.service];
@@ -246,24 +290,28 @@
             it.hello_at = {};
 }
 
-void host_peers::on_report(machine_address from, const load_report& report,
+bool host_peers::on_report(machine_address from, const load_report& report,
                            time_point now) {
     const auto it = peers_.find(from);
     if (it == peers_.end())
-        return;
+        return false;
     peer& known = it->second;
     // An earlier run's report may arrive late. A run may have a lower number
     // than the one before it after a step of the clock.
     if (!known.followed ||
         (known.has_reported && report.run < known.report.run &&
          now - known.heard_at < earlier_run_timeout))
-        return;
+        return false;
+    const bool is_other_service =
+        known.service != report.service ||
+        (!known.has_named_service && !known.registered);
     if (known.has_reported && known.report.run != report.run)
         known.unanswered = 0;
     known.has_reported = true;
     known.heard_at = now;
     known.report = report;
     known.service = report.service;
+    known.has_named_service = true;
     known.placed.on_report(now);
     known.opened.on_report(now);
     known.openings_since = 0;
@@ -271,6 +319,7 @@
     known.hellos.on_report(report.run, report.work.has_value());
     if (now - known.unanswered_at > options_.unanswered_retention)
         known.unanswered = 0;
+    return is_other_service;
 }
 
 void host_peers::on_flows(machine_address from, const owned_flows& here,
--- a/packages/core/src/relay/host_peers_test.cpp
+++ b/packages/core/src/relay/host_peers_test.cpp
@@ -47,6 +47,7 @@
             {{revision(2),
               routing_document{
                   .version = 1,
+                  .routes = {{.targets = {{service, 1}}}},
                   .warmup_limits = {{service, seconds(20), rate}}}},
              {revision(3), cold_record(1, near_host, 1)},
              {revision(4), cold_record(2, remote_host, 2)}},
--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -129,6 +129,10 @@
     void set_host_silent(std::size_t host, bool silent);
     /// @brief Assigns the host's address to a host of another service.
     void reuse_address(std::size_t host);
+    /// @brief The host's registration as it would publish it now.
+    relay::host_record record_of(std::size_t host) const;
+    /// @brief Another writer puts the record into the store.
+    void write_record(const relay::host_record& it);
 
     /// @brief Publishes a configuration that routes new flows to another
     /// service, which has no host in this world.
@@ -240,7 +244,6 @@
     bool understands(relay::machine_address machine,
                      const relay::message& message) const;
     void send_change(const relay::directory_change& change);
-    relay::host_record record_of(std::size_t host) const;
     void send_to_host(relay::machine_address from, relay::machine_address to,
                       relay::routing_mark mark, byte_view data);
     relay::data_centre_id data_centre_of(relay::machine_address machine) const;
--- a/packages/testing/src/emulator/relay_world_faults.cpp
+++ b/packages/testing/src/emulator/relay_world_faults.cpp
@@ -105,6 +105,10 @@
             .started = wall_clock(it.booted_at)};
 }
 
+void relay_world::write_record(const relay::host_record& it) {
+    send_change(store_.put(it));
+}
+
 // Sends a change of the host's registration to all entries that read the
 // store.
 void relay_world::publish_registration(std::size_t host) {
