Log which packet a host did not answer when it counts as ended

host_ended did not say by what evidence a host counts as ended, so that a host that hangs, a lost answer and a packet that needs none looked alike.

It now has the first unanswered packet's flow, its payload and FIN, the time without any packet from the host, and the registration.

--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -208,6 +208,8 @@
     // Set when a packet is delivered to a host in state `listener_closed`;
     // cleared by any packet from the host.
     std::optional<time_point> unanswered_since_;
+    // The packet that set it, for the log.
+    event unanswered_packet_;
     // Every flow that the host opened since then was seen by this process.
     time_point flows_complete_since_;
     time_point last_sweep_at_;
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -305,9 +305,14 @@
 
 // The host has ended. Resets let clients open new flows at once.
 void host_relay::end_all_flows(time_point now) {
-    hooks_.report({.severity = event::level::warning,
-                   .name = "host_ended",
-                   .value = flows_.size()});
+    event ended{.severity = event::level::warning, .name = "host_ended"};
+    if (unanswered_since_) {
+        ended = unanswered_packet_;
+        ended.inputs[0] = {"silent_ms", (now - *unanswered_since_) /
+                                            std::chrono::milliseconds(1)};
+    }
+    ended.value = flows_.size();
+    hooks_.report(ended);
     for (const auto& [flow, it] : flows_) {
         if (!it.confirmed || (it.client_closed && it.host_closed))
             continue;
@@ -346,8 +351,20 @@
 
 void host_relay::deliver(machine_address via, const segment& packet,
                          time_point now) {
-    if (state_ == host_state::listener_closed && !unanswered_since_)
+    if (state_ == host_state::listener_closed && !unanswered_since_) {
         unanswered_since_ = now;
+        unanswered_packet_ = {
+            .severity = event::level::warning,
+            .name = "host_ended",
+            .reason = "packet_unanswered",
+            .flow = packet.flow,
+            .machine = via,
+            .inputs = {
+                {{},
+                 {"payload", packet.payload_bytes},
+                 {"fin", packet.fin ? 1 : 0},
+                 {"registration", static_cast<std::int64_t>(registration_)}}}};
+    }
     hooks_.deliver(via, packet.datagram);
 }
 
