A bare acknowledgement does not make a silent host dead

Cause: beside a host that has closed its listener, any packet to it started a time of 400 ms (200 ms if registered as ready) after which it counts as dead unless it sends something. No end replies to a bare acknowledgement.

Three tests of relay_closed_listener_test failed before (the drain known, not yet known, and after a restart of the process); the fourth guards the opposite fault, that a crashed host's flows end although clients acknowledge.

Change: host_silence counts from the first packet that any live host reacts to (data, FIN, opening packet), and at most 100 ms of a gap between two ticks, since the answers to a process that was stopped wait in its socket.

Four accessors of relay_world moved to the file of the other ones.

--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <arbutusport/relay/events.hpp>
+#include <arbutusport/relay/host_silence.hpp>
 #include <arbutusport/relay/load_meter.hpp>
 #include <arbutusport/relay/messages.hpp>
 #include <arbutusport/relay/opening_gate.hpp>
@@ -46,10 +47,10 @@
     /// A registration that has not been repeated by any entry for this long
     /// counts as unknown; hellos arrive every 400 ms.
     duration registration_timeout = std::chrono::milliseconds(1500);
-    /// A host that accepts no connections and answers no packet for this long
-    /// counts as dead: if it is registered as ready, and otherwise. A host
-    /// closes its listener soon after it registered as draining, before this
-    /// process can know that.
+    /// A host that accepts no connections and leaves packets that need an
+    /// answer without one for this long counts as dead: if it is registered as
+    /// ready, and otherwise. A host closes its listener soon after it
+    /// registered as draining, before this process can know that.
     duration crash_timeout = std::chrono::milliseconds(200);
     duration closed_listener_timeout = std::chrono::milliseconds(400);
     /// An entry that sends nothing for this long receives no more
@@ -205,11 +206,8 @@
     // The last registration that entries reported, and when it arrived.
     registration registration_ = registration::unknown;
     time_point registered_at_;
-    // Set when a packet is delivered to a host in state `listener_closed`;
-    // cleared by any packet from the host.
-    std::optional<time_point> unanswered_since_;
-    // The packet that set it, for the log.
-    event unanswered_packet_;
+    // Of a host in state `listener_closed`.
+    host_silence silence_;
     // Every flow that the host opened since then was seen by this process.
     time_point flows_complete_since_;
     time_point last_sweep_at_;
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -127,7 +127,8 @@
     const duration limit = is_registered_ready(now)
                                ? options_.crash_timeout
                                : options_.closed_listener_timeout;
-    if (unanswered_since_ && now - *unanswered_since_ > limit)
+    silence_.on_tick(now);
+    if (silence_.length() > limit)
         end_all_flows(now);
     // A host that does not react to a packet may own the flow or may have
     // ended; only packets from the host decide.
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -144,7 +144,7 @@
 }
 
 void host_relay::on_host(const segment& packet, time_point now) {
-    unanswered_since_.reset();
+    silence_.end();
     if (packet.returned) {
         on_returned(packet, now);
         return;
@@ -305,13 +305,18 @@
 
 // The host has ended. Resets let clients open new flows at once.
 void host_relay::end_all_flows(time_point now) {
-    event ended{.severity = event::level::warning, .name = "host_ended"};
-    if (unanswered_since_) {
-        ended = unanswered_packet_;
-        ended.inputs[0] = {"silent_ms", (now - *unanswered_since_) /
-                                            std::chrono::milliseconds(1)};
+    event ended{.severity = event::level::warning,
+                .name = "host_ended",
+                .value = flows_.size()};
+    if (const auto& packet = silence_.first()) {
+        ended.reason = "packet_unanswered";
+        ended.flow = packet->flow;
+        ended.inputs = {
+            {{"silent_ms", silence_.length() / std::chrono::milliseconds(1)},
+             {"payload", packet->payload_bytes},
+             {"fin", packet->fin ? 1 : 0},
+             {"registration", static_cast<std::int64_t>(registration_)}}};
     }
-    ended.value = flows_.size();
     hooks_.report(ended);
     for (const auto& [flow, it] : flows_) {
         if (!it.confirmed || (it.client_closed && it.host_closed))
@@ -333,7 +338,7 @@
     if (state_ == new_state)
         return;
     state_ = new_state;
-    unanswered_since_.reset();
+    silence_.end();
     hooks_.report({.severity = event::level::info,
                    .name = new_state == host_state::alive ? "host_back"
                            : new_state == host_state::listener_closed
@@ -351,20 +356,8 @@
 
 void host_relay::deliver(machine_address via, const segment& packet,
                          time_point now) {
-    if (state_ == host_state::listener_closed && !unanswered_since_) {
-        unanswered_since_ = now;
-        unanswered_packet_ = {
-            .severity = event::level::warning,
-            .name = "host_ended",
-            .reason = "packet_unanswered",
-            .flow = packet.flow,
-            .machine = via,
-            .inputs = {
-                {{},
-                 {"payload", packet.payload_bytes},
-                 {"fin", packet.fin ? 1 : 0},
-                 {"registration", static_cast<std::int64_t>(registration_)}}}};
-    }
+    if (state_ == host_state::listener_closed)
+        silence_.on_delivered(packet, now);
     hooks_.deliver(via, packet.datagram);
 }
 
--- a/packages/testing/include/arbutusport/emulator/relay_world.hpp
+++ b/packages/testing/include/arbutusport/emulator/relay_world.hpp
@@ -92,6 +92,8 @@
     void reuse_port(std::size_t flow, std::size_t entry);
     /// @brief Sends a request on a flow through the entry.
     void send_request(std::size_t flow, std::size_t entry);
+    /// @brief The client acknowledges what it has received, and sends no data.
+    void acknowledge(std::size_t flow, std::size_t entry);
 
     bool is_open(std::size_t flow) const;
     bool is_reset(std::size_t flow) const;
--- a/packages/testing/src/emulator/relay_world.cpp
+++ b/packages/testing/src/emulator/relay_world.cpp
@@ -439,6 +439,15 @@
     retransmit(flow, entry, request, first_retransmission);
 }
 
+void relay_world::acknowledge(std::size_t flow, std::size_t entry) {
+    const flow_state& it = flows_[flow];
+    send_packet(it, entry,
+                {.flow = it.key,
+                 .sequence = it.client_initial_sequence + 1,
+                 .acknowledged = it.host_initial_sequence + 1,
+                 .ack = true});
+}
+
 void relay_world::retransmit(std::size_t flow, std::size_t entry,
                              std::uint64_t request, duration interval) {
     const flow_state& it = flows_[flow];
@@ -474,27 +483,4 @@
            (flow.client.port - 1024U);
 }
 
-bool relay_world::is_open(std::size_t flow) const {
-    return flows_[flow].open && !flows_[flow].reset;
-}
-
-bool relay_world::is_reset(std::size_t flow) const {
-    return flows_[flow].reset;
-}
-
-std::uint64_t relay_world::answers(std::size_t flow) const {
-    return flows_[flow].answers;
-}
-
-std::size_t relay_world::owning_host(std::size_t flow) const {
-    const flow_state& it = flows_[flow];
-    for (std::size_t i = 0; i < hosts_.size(); ++i) {
-        const auto known = hosts_[i]->flows.find(it.key);
-        if (hosts_[i]->running && known != hosts_[i]->flows.end() &&
-            known->second == it.host_initial_sequence)
-            return i;
-    }
-    return hosts_.size();
-}
-
 } // namespace arbutusport::emulator
--- a/packages/testing/src/emulator/relay_world_faults.cpp
+++ b/packages/testing/src/emulator/relay_world_faults.cpp
@@ -271,6 +271,29 @@
                               time());
 }
 
+bool relay_world::is_open(std::size_t flow) const {
+    return flows_[flow].open && !flows_[flow].reset;
+}
+
+bool relay_world::is_reset(std::size_t flow) const {
+    return flows_[flow].reset;
+}
+
+std::uint64_t relay_world::answers(std::size_t flow) const {
+    return flows_[flow].answers;
+}
+
+std::size_t relay_world::owning_host(std::size_t flow) const {
+    const flow_state& it = flows_[flow];
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        const auto known = hosts_[i]->flows.find(it.key);
+        if (hosts_[i]->running && known != hosts_[i]->flows.end() &&
+            known->second == it.host_initial_sequence)
+            return i;
+    }
+    return hosts_.size();
+}
+
 std::uint64_t relay_world::flows_placed_at(std::size_t host) const {
     return hosts_[host]->placed;
 }
