A refused connection shows no end of flows that a process does not know

A process that was restarted beside a host knew none of its flows. When the host closed its listener while still registered as ready, as a host does that has just begun to drain, the process took it for dead and denied all flows, which entries then reset.

Cause: for a host registered as ready a refused connection counted as its end if the process knew no flow, although it could not know all.

Change: only a process that knows all flows concludes so; others wait for a packet that the host leaves unanswered.

Evidence: relay_closed_listener_test a_restarted_process_keeps_flows_before_the_drain_is_known failed before (a live flow reset at 5917 ms). The opposite fault is guarded by a_crash_beside_a_restarted_process_ends_flows; there resets come 600 to 640 ms after the client's packet in place of 20 to 40 ms if the entry knows the flow's host, and 240 ms if it does not.

--- a/packages/core/include/arbutusport/relay/host_relay.hpp
+++ b/packages/core/include/arbutusport/relay/host_relay.hpp
@@ -169,7 +169,7 @@
     void set_idle_timeout(entry& sender, duration it);
     void update_idle_timeout();
     bool is_registered_ready(time_point now) const;
-    bool refusal_shows_end(time_point now) const;
+    bool has_no_flows(time_point now) const;
     void set_state(host_state new_state, time_point now);
     void end_all_flows(time_point now);
     void deliver(machine_address via, const segment& packet, time_point now);
--- a/packages/core/src/relay/host_control.cpp
+++ b/packages/core/src/relay/host_control.cpp
@@ -56,8 +56,7 @@
             "host_started_later", from,
             static_cast<std::int64_t>(hello_message->host_started.value()),
             now);
-    if (state_ == host_state::listener_closed && flows_.empty() &&
-        refusal_shows_end(now))
+    if (state_ == host_state::listener_closed && has_no_flows(now))
         end_all_flows(now);
     load_report report = make_report(now, sender);
     report.entries = next_listed_entries(sender, now);
--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -291,16 +291,17 @@
 void host_relay::on_host_refused(time_point now) {
     if (state_ != host_state::alive)
         return;
-    if (flows_.empty() && refusal_shows_end(now))
+    if (has_no_flows(now))
         end_all_flows(now);
     else
         set_state(host_state::listener_closed, now);
 }
 
 // A draining host closes its listener and serves its flows, which a process
-// that has just started does not know.
-bool host_relay::refusal_shows_end(time_point now) const {
-    return knows_all_flows(now) || is_registered_ready(now);
+// that has just started does not know. It may have begun to drain before any
+// entry knows.
+bool host_relay::has_no_flows(time_point now) const {
+    return flows_.empty() && knows_all_flows(now);
 }
 
 // The host has ended. Resets let clients open new flows at once.
--- a/packages/testing/src/emulator/relay_closed_listener_test.cpp
+++ b/packages/testing/src/emulator/relay_closed_listener_test.cpp
@@ -41,6 +41,8 @@
     CPPUNIT_TEST(an_acknowledgement_to_a_draining_host_ends_no_flow);
     CPPUNIT_TEST(an_acknowledgement_before_the_drain_is_known_ends_no_flow);
     CPPUNIT_TEST(an_acknowledgement_after_a_restart_ends_no_flow);
+    CPPUNIT_TEST(a_restarted_process_keeps_flows_before_the_drain_is_known);
+    CPPUNIT_TEST(a_crash_beside_a_restarted_process_ends_flows);
     CPPUNIT_TEST(a_crash_ends_flows_although_clients_acknowledge);
     CPPUNIT_TEST_SUITE_END();
 
@@ -93,6 +95,41 @@
         check_served(world, flows);
     }
 
+    // Guards against the reset of live flows by a restarted process: it knew
+    // none of them and took the refused connection to a host registered as
+    // ready for its end, although the host had just begun to drain.
+    void a_restarted_process_keeps_flows_before_the_drain_is_known() {
+        relay_world world({});
+        world.run_until(startup_time);
+        const auto flows = open_flows(world, 60);
+        world.kill_host_process(host);
+        world.run_for(milliseconds(500));
+        world.start_host_process(host);
+        world.run_for(milliseconds(500));
+        world.close_listener(host);
+        world.run_for(milliseconds(100));
+        check_served(world, flows);
+    }
+
+    // The opposite fault: the process does not know which flows the host had.
+    void a_crash_beside_a_restarted_process_ends_flows() {
+        relay_world world({});
+        world.run_until(startup_time);
+        const auto flows = flows_of_host(world, open_flows(world, 60));
+        world.kill_host_process(host);
+        world.run_for(milliseconds(500));
+        world.start_host_process(host);
+        world.run_for(milliseconds(500));
+        world.crash_host(host);
+        world.run_for(milliseconds(100));
+        send_all(world, flows, 0);
+        // The entry forwards the request and its first repetition, after 200
+        // ms, as before the crash. It searches the flow with the second one.
+        world.run_for(milliseconds(600 + 100));
+        for (const auto it : flows)
+            CPPUNIT_ASSERT(world.is_reset(it));
+    }
+
     // The opposite fault: flows of a host that has ended must end too.
     void a_crash_ends_flows_although_clients_acknowledge() {
         relay_world world({});
