A packet from a host that counts as dead shows that it lives

A host that hung for a moment with its listener closed counted as dead until it accepted connections again, which a draining host never does. Its later packets were passed on, while packets of its clients were refused and its remaining flows denied.

Change: a packet from the host returns it to the state listener_closed.

Evidence: host_relay_test a_packet_from_a_dead_host_shows_that_it_lives failed before.

--- a/packages/core/src/relay/host_relay.cpp
+++ b/packages/core/src/relay/host_relay.cpp
@@ -145,6 +145,8 @@
 
 void host_relay::on_host(const segment& packet, time_point now) {
     silence_.end();
+    if (state_ == host_state::dead)
+        set_state(host_state::listener_closed, now);
     if (packet.returned) {
         on_returned(packet, now);
         return;
--- a/packages/core/src/relay/host_relay_test.cpp
+++ b/packages/core/src/relay/host_relay_test.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 const time_point start{seconds(100)};
@@ -162,6 +163,7 @@
     CPPUNIT_TEST(a_shorter_idle_timeout_counts_once_all_entries_have_it);
     CPPUNIT_TEST(only_opening_packets_of_the_own_service_are_delivered);
     CPPUNIT_TEST(only_openings_count_as_opened);
+    CPPUNIT_TEST(a_packet_from_a_dead_host_shows_that_it_lives);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -232,6 +234,37 @@
         it.open(3);
         CPPUNIT_ASSERT_EQUAL(2U, it.opened());
     }
+
+    // Guards against a host that hangs for a moment while it drains: its later
+    // packets were passed on, and those of its clients were refused.
+    void a_packet_from_a_dead_host_shows_that_it_lives() {
+        std::size_t delivered = 0;
+        host_relay relay(
+            {},
+            {.deliver = [&](machine_address, byte_view) { ++delivered; },
+             .to_client = [](const flow_key&, byte_view) {},
+             .reset = [](const flow_key&, std::uint32_t) {},
+             .send = [](machine_address, const message&) {},
+             .report = [](const event&) {}},
+            start);
+        segment data;
+        data.flow = unknown_flow;
+        data.ack = true;
+        data.payload_bytes = 100;
+        data.mark = {forwarding_mode::forward, make_service_tag(service_id())};
+        relay.on_host_refused(start);
+        relay.on_entry(current_entry, data, start);
+        for (int i = 0; i <= 10; ++i)
+            relay.on_tick(start + i * milliseconds(50));
+        CPPUNIT_ASSERT(relay.state() == host_state::dead);
+        delivered = 0;
+        relay.on_entry(current_entry, data, start + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, delivered);
+        relay.on_host(data, start + seconds(2));
+        CPPUNIT_ASSERT(relay.state() == host_state::listener_closed);
+        relay.on_entry(current_entry, data, start + seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delivered);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(host_relay_test);
