A report about a host's former start leaves no process out of a search

Cause: a search leaves out a process that has reported its host as dead and is silent since. The report was of the host's former start; until the new process had answered a hello, up to 0.8 s later, the others' denials counted as complete.

Evidence: the entries of the other zone log no_host_has_it with denials=5 in a deployment of six host processes. entry_relay_test a_host_that_started_anew_is_asked_despite_an_old_report failed before (1 reset). a_dead_host_whose_process_has_ended_delays_no_reset guards the opposite fault.

Change: once another host has registered on the machine, the report no longer counts. A trial that forgot all reports of the process made relay_cold_host_test no_cold_host_gets_more_than_it_bears fail (29,999 of 30,000 flows opened) and was not taken.

--- a/packages/core/include/arbutusport/relay/host_peers.hpp
+++ b/packages/core/include/arbutusport/relay/host_peers.hpp
@@ -96,6 +96,9 @@
         bool has_named_service = false;
         data_centre_id data_centre;
         time_point heard_at;
+        /// Another host has registered on the machine since the last report,
+        /// whose state of the host is of the former one.
+        bool has_new_host = false;
         /// Since when the process is followed, or unregistered.
         time_point known_since;
         time_point hello_at;
@@ -202,6 +205,7 @@
     struct service_hosts;
 
     void register_host(peer& one, const directory::host& it);
+    static bool host_is_dead(const peer& it);
     void ask_unrouted(const directory& known, time_point now);
     void forget_departed(time_point now);
     void follow(peer& it, bool followed, time_point now);
--- a/packages/core/src/relay/entry_relay_test.cpp
+++ b/packages/core/src/relay/entry_relay_test.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(a_flow_of_a_dead_host_is_reset_if_no_other_host_has_it);
     CPPUNIT_TEST(an_outdated_report_does_not_end_the_flows_of_a_live_host);
     CPPUNIT_TEST(a_dead_host_whose_process_has_ended_delays_no_reset);
+    CPPUNIT_TEST(a_host_that_started_anew_is_asked_despite_an_old_report);
     CPPUNIT_TEST(an_entry_without_a_directory_makes_no_barrier);
     CPPUNIT_TEST_SUITE_END();
 
@@ -269,6 +270,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.resets);
     }
 
+    // Guards against the reset of live flows in review/6: the last report of
+    // the former process said that its host is dead, and the process beside the
+    // host that has started since has not answered yet.
+    void a_host_that_started_anew_is_asked_despite_an_old_report() {
+        fixture it;
+        report_first_host_dead(it, start + seconds(1));
+        const time_point now = start + seconds(3);
+        host_record anew = fixture::record(1, first, first_machine);
+        anew.started = unix_milliseconds(2000);
+        it.entry.on_changes(revision(6), {{revision(6), anew}}, now);
+        it.client_sends(client_start + 1, 700'001, false,
+                        now + milliseconds(10));
+        it.entry.flush(now + milliseconds(10));
+        it.entry.on_message(second_machine, flow_denial{.not_owned = {flow}},
+                            now + milliseconds(15));
+        finish_barrier(it, now + milliseconds(15));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, it.resets);
+        // Its process does not have the flow either.
+        it.entry.on_message(first_machine, flow_denial{.not_owned = {flow}},
+                            now + milliseconds(100));
+        finish_barrier(it, now + milliseconds(100));
+        it.entry.flush(now + milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, it.resets);
+    }
+
     // Guards against a directory of recent changes alone: an entry that has
     // just been restarted is asked for a barrier before it has listed the
     // store.
@@ -301,6 +327,10 @@
     static void crash_first_host(fixture& it, time_point now) {
         it.client_sends(client_start, 0, true, start);
         it.host_accepts(first_machine, 500'000, start + milliseconds(5));
+        report_first_host_dead(it, now);
+    }
+
+    static void report_first_host_dead(fixture& it, time_point now) {
         for (const auto machine : {first_machine, second_machine})
             it.entry.on_message(
                 machine,
--- a/packages/core/src/relay/host_peers.cpp
+++ b/packages/core/src/relay/host_peers.cpp
@@ -102,10 +102,12 @@
     // The host process must know soon that its host may close its listener.
     if (std::exchange(one.draining, it.record.draining) != it.record.draining)
         one.hello_at = {};
-    // Its process limits the opening packets of a cold host.
     const std::pair registration(it.record.key, it.record.started);
-    if (std::exchange(one.registered_as, registration) != registration &&
-        options_.limits_cold_hosts && it.record.warmup_left > duration())
+    if (std::exchange(one.registered_as, registration) == registration)
+        return;
+    one.has_new_host = one.has_reported;
+    // Its process limits the opening packets of a cold host.
+    if (options_.limits_cold_hosts && it.record.warmup_left > duration())
         one.hello_at = {};
 }
 
@@ -308,6 +310,7 @@
     if (known.has_reported && known.report.run != report.run)
         known.unanswered = 0;
     known.has_reported = true;
+    known.has_new_host = false;
     known.heard_at = now;
     known.report = report;
     known.service = report.service;
@@ -399,8 +402,12 @@
 
 bool host_peers::host_is_dead(machine_address machine) const {
     const peer* it = find(machine);
-    return it != nullptr && it->has_reported &&
-           it->report.host == host_state::dead;
+    return it != nullptr && host_is_dead(*it);
+}
+
+bool host_peers::host_is_dead(const peer& it) {
+    return it.has_reported && !it.has_new_host &&
+           it.report.host == host_state::dead;
 }
 
 std::int64_t host_peers::report_age_ms(machine_address machine,
@@ -455,7 +462,7 @@
     std::vector<owner_search::target> out;
     std::vector<std::pair<std::uint64_t, machine_address>> likely_machines;
     for (const auto& [machine, it] : peers_) {
-        const bool dead = it.has_reported && it.report.host == host_state::dead;
+        const bool dead = host_is_dead(it);
         // The process beside a crashed host ends soon after it.
         if (dead && now - it.heard_at > interval(it) + options_.answer_delay)
             continue;
