--- a/packages/core/include/arbutusport/relay/directory.hpp
+++ b/packages/core/include/arbutusport/relay/directory.hpp
@@ -290,7 +290,7 @@
     void forget_outdated_except(const std::set<host_key>& listed);
     void expire_removals(time_point now);
     void update_derived();
-    void update_superseded();
+    void choose_at(std::uint32_t address);
     std::uint64_t hash_of_position(std::uint64_t seed, revision at) const;
     static bool is_older(const host& left, const host& right);
 
@@ -305,7 +305,8 @@
     std::uint64_t warmup_limits_version_ = 0;
     bool knows_warmup_limits_ = false;
     std::map<host_key, host> hosts_;
-    // The records of each address; always match `hosts_`.
+    // The records of each address that are not superseded. Only the first one
+    // may be of a routed service. Always match `hosts_` and `routed_`.
     std::unordered_map<std::uint32_t,
                        boost::container::small_vector<host_key, 1>>
         by_address_;
--- a/packages/core/src/relay/directory.cpp
+++ b/packages/core/src/relay/directory.cpp
@@ -295,17 +295,15 @@
     const auto found = by_address_.find(address);
     if (found == by_address_.end())
         return nullptr;
+    const host& first = hosts_.at(found->second.front());
+    const host* newest = is_routed(first.record.service) ? &first : nullptr;
     // A tag that a routed service has stands for that service.
-    const bool admits_unrouted = reported && !routed_tags_.contains(*reported);
-    const host* newest = nullptr;
+    if (!reported || routed_tags_.contains(*reported))
+        return newest;
     for (const host_key key : found->second) {
         const host& it = hosts_.at(key);
-        const service_id service = it.record.service;
-        if (is_superseded(it) ||
-            (!is_routed(service) &&
-             !(admits_unrouted && make_service_tag(service) == *reported)))
-            continue;
-        if (newest == nullptr || is_older(*newest, it))
+        if (make_service_tag(it.record.service) == *reported &&
+            (newest == nullptr || is_older(*newest, it)))
             newest = &it;
     }
     return newest;
@@ -314,41 +312,53 @@
 void directory::update_derived() {
     digest_ = hash_of_position(0, routing_at_);
     by_address_.clear();
+    superseded_.clear();
+    std::vector<std::uint32_t> shared;
     for (const auto& [key, it] : hosts_) {
         digest_ = hash_combine(digest_, hash_of_position(key.value(), it.at));
-        by_address_[it.record.address.address].push_back(key);
+        auto& keys = by_address_[it.record.address.address];
+        keys.push_back(key);
+        if (keys.size() == 2)
+            shared.push_back(it.record.address.address);
     }
-    update_superseded();
+    for (const std::uint32_t address : shared)
+        choose_at(address);
 }
 
-void directory::update_superseded() {
-    superseded_.clear();
-    for (const auto& at_address : by_address_) {
-        const auto& keys = at_address.second;
-        if (keys.size() == 1)
-            continue;
-        const auto any_other = [&](const host& it, const auto& condition) {
-            return std::ranges::any_of(keys, [&](host_key key) {
-                const host& other = hosts_.at(key);
-                return &other != &it &&
-                       other.record.service == it.record.service &&
-                       condition(other);
-            });
-        };
-        const auto revokes_drain = [&](const host& it) {
-            return !it.record.draining && any_other(it, [&](const host& other) {
-                return other.record.draining &&
-                       it.record.started <= other.record.started;
-            });
-        };
-        for (const host_key key : keys) {
-            const host& it = hosts_.at(key);
-            if (revokes_drain(it) || any_other(it, [&](const host& other) {
-                    return !revokes_drain(other) && is_older(it, other);
-                }))
-                superseded_.insert(key);
-        }
+// Keeps one record of each service, and of the routed services together.
+void directory::choose_at(std::uint32_t address) {
+    auto& keys = by_address_.at(address);
+    std::map<service_id, unix_milliseconds> draining;
+    for (const host_key key : keys) {
+        const host_record& it = hosts_.at(key).record;
+        if (it.draining)
+            draining[it.service] = std::max(draining[it.service], it.started);
+    }
+    const auto keep_newer = [](const host*& newest, const host& it) {
+        if (newest == nullptr || is_older(*newest, it))
+            newest = &it;
+    };
+    std::map<service_id, const host*> chosen;
+    for (const host_key key : keys) {
+        const host& it = hosts_.at(key);
+        const auto drain = draining.find(it.record.service);
+        if (it.record.draining || drain == draining.end() ||
+            it.record.started > drain->second)
+            keep_newer(chosen[it.record.service], it);
     }
+    for (const host_key key : keys)
+        if (chosen.at(hosts_.at(key).record.service) != &hosts_.at(key))
+            superseded_.insert(key);
+    keys.clear();
+    const host* routed = nullptr;
+    for (const auto& [service, it] : chosen)
+        if (is_routed(service))
+            keep_newer(routed, *it);
+    if (routed != nullptr)
+        keys.push_back(routed->record.key);
+    for (const auto& [service, it] : chosen)
+        if (!is_routed(service))
+            keys.push_back(it->record.key);
 }
 
 // Within the era of as_of() the hash is the one of processes that know no eras.
