A failing test: a late answer resets a flow from a reused port

The host process of another host had learned the flow of the client's former connection from a late copy of an answer, 7.4 s before the client used the port again; a packet of the new connection came there with an acknowledgement near the old one by chance, was returned, and the process reset the connection (host_forgot_it).

--- a/packages/core/src/relay/host_relay_test.cpp
+++ b/packages/core/src/relay/host_relay_test.cpp
@@ -164,6 +164,7 @@
     CPPUNIT_TEST(only_opening_packets_of_the_own_service_are_delivered);
     CPPUNIT_TEST(only_openings_count_as_opened);
     CPPUNIT_TEST(a_packet_from_a_dead_host_shows_that_it_lives);
+    CPPUNIT_TEST(a_late_answer_resets_no_flow_from_a_reused_port);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -265,6 +266,40 @@
         relay.on_entry(current_entry, data, start + seconds(2));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delivered);
     }
+
+    // Guards against the reset of a live flow in soak seed 8108. A late copy of
+    // an answer made the process learn a flow that had ended. The client's new
+    // connection from the port, to another host, has an acknowledgement near
+    // the old one by chance, but not its own sequence number.
+    void a_late_answer_resets_no_flow_from_a_reused_port() {
+        std::size_t resets = 0;
+        host_relay relay(
+            {},
+            {.deliver = [](machine_address, byte_view) {},
+             .to_client = [](const flow_key&, byte_view) {},
+             .reset = [&](const flow_key&, std::uint32_t) { ++resets; },
+             .send = [](machine_address, const message&) {},
+             .report = [](const event&) {}},
+            start);
+        segment late;
+        late.flow = unknown_flow;
+        late.ack = true;
+        late.sequence = 500'000;
+        late.acknowledged = 1000;
+        late.payload_bytes = 100;
+        relay.on_host(late, start);
+        segment data;
+        data.flow = unknown_flow;
+        data.ack = true;
+        data.sequence = 2'000'000'000;
+        data.acknowledged = late.sequence + 1'000'000;
+        data.payload_bytes = 100;
+        data.mark = {forwarding_mode::forward, make_service_tag(service_id())};
+        relay.on_entry(current_entry, data, start + seconds(7));
+        data.returned = true;
+        relay.on_host(data, start + seconds(7));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, resets);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(host_relay_test);
