--- a/review/standins-3/standin.hpp
+++ b/review/standins-3/standin.hpp
@@ -337,6 +337,13 @@
                true);
     }
     int calls() const { return calls_; }
+    /// "A watch that is waiting may be cut."
+    int cut_watches() {
+        const std::lock_guard lock(mutex_);
+        for (const int fd : watching_)
+            ::shutdown(fd, SHUT_RDWR);
+        return static_cast<int>(watching_.size());
+    }
 
 private:
     void change(const std::string& key, std::string item, bool removed) {
@@ -365,7 +372,7 @@
             ++calls_;
             const auto first = line.find(' ');
             const auto last = line.find(' ', first + 1);
-            const auto out = answer(line.substr(first + 1, last - first - 1));
+            const auto out = answer(line.substr(first + 1, last - first - 1), fd);
             if (::send(fd, out.data(), out.size(), MSG_NOSIGNAL) < 0)
                 break;
         }
@@ -404,7 +411,7 @@
                std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
-    std::string answer(const std::string& path) {
+    std::string answer(const std::string& path, int fd) {
         std::unique_lock lock(mutex_);
         const std::string prefix = unescape(query(path, "Prefix"));
         if (path.starts_with("/arbutusport/kv-range")) {
@@ -428,9 +435,11 @@
         if (path.starts_with("/arbutusport/kv-watch")) {
             const auto after = std::stoull("0" + query(path, "after"));
             const auto wait = std::stoll("0" + query(path, "WaitMs"));
+            watching_.insert(fd);
             changed_.wait_for(lock, milliseconds(wait), [&] {
                 return stopping_ || revision_ > after;
             });
+            watching_.erase(fd);
             if (after > revision_)
                 return http(410, "{}");
             std::string events;
@@ -453,7 +462,7 @@
     std::atomic<bool> stopping_ = false;
     std::map<address, int> listeners_;
     std::vector<std::thread> accepting_, serving_;
-    std::set<int> open_;
+    std::set<int> open_, watching_;
     std::map<int, address> at_;
 };
 
@@ -686,6 +695,13 @@
         const auto it = flows_.find({client, service});
         return it != flows_.end() && it->second.open && it->second.isn == isn;
     }
+    /// Also of a flow whose handshake has not ended.
+    bool has_flow(const address& client, const address& service,
+                  std::uint32_t isn) const {
+        const std::lock_guard lock(mutex_);
+        const auto it = flows_.find({client, service});
+        return it != flows_.end() && it->second.isn == isn;
+    }
     /// Requests that the host has run.
     std::set<std::string> run_requests() const {
         const std::lock_guard lock(mutex_);
