--- a/review/11/case.cpp
+++ b/review/11/case.cc
@@ -2,7 +2,7 @@
 // are idle whose clients have used the same port before, for a flow at another
 // host.
 
-#include "../standins-3/standin.hpp"
+#include "../standins-3/standin.h"
 
 using namespace standin;
 
@@ -24,12 +24,14 @@
     platform_store.listen({at.store_ip(), at.store});
     host a({"host-a", {at.host(0), at.app}, {at.host(0), at.outbound}}, record);
     host b({"host-b", {at.host(1), at.app}, {at.host(1), at.outbound}}, record);
-    platform_store.put("op/config", configuration(1, {{route_address, service}},
-                                                  {service}));
-    platform_store.put("servers/i-a", registration(service, {at.host(0), at.app},
-                                                   options.zone, a.born()));
-    platform_store.put("servers/i-b", registration(service, {at.host(1), at.app},
-                                                   options.zone, b.born()));
+    platform_store.put("op/config",
+                       configuration(1, {{route_address, service}}, {service}));
+    platform_store.put(
+        "servers/i-a",
+        registration(service, {at.host(0), at.app}, options.zone, a.born()));
+    platform_store.put(
+        "servers/i-b",
+        registration(service, {at.host(1), at.app}, options.zone, b.born()));
 
     std::vector<std::unique_ptr<process>> entries, sides;
     for (std::size_t i = 0; i < 2; ++i)
@@ -48,8 +50,8 @@
         it->start();
     for (auto& it : sides)
         it->start();
-    routers fabric({{at.entry(0), at.ready}, {at.entry(1), at.ready}}, at.packets,
-                   record);
+    routers fabric({{at.entry(0), at.ready}, {at.entry(1), at.ready}},
+                   at.packets, record);
     for (int i = 0; i < 200 && !fabric.all_ready(); ++i)
         sleep_ms(50);
     if (!fabric.all_ready())
@@ -121,14 +123,16 @@
             continue;
         ++broken;
         sleep_ms(100);
-        record.line("FLOW: the flow of port " + std::to_string(one.port) +
-                    " at " + one.second + " was reset; " + one.second +
-                    " lives and holds it, and " +
-                    (owner.run_requests().contains(id) ? "ran" : "did not run") +
-                    " the request " + id);
+        record.line(
+            "FLOW: the flow of port " + std::to_string(one.port) + " at " +
+            one.second + " was reset; " + one.second +
+            " lives and holds it, and " +
+            (owner.run_requests().contains(id) ? "ran" : "did not run") +
+            " the request " + id);
     }
     record.line(std::to_string(used.size()) + " open flows, " +
-                std::to_string(moved) + " with an ended one at the other host, " +
+                std::to_string(moved) +
+                " with an ended one at the other host, " +
                 std::to_string(broken) + " reset");
     return broken > 0 ? 1 : 0;
 }
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for source in review/1[1-5]/case.cpp; do
+for source in review/1[1-5]/case.cc; do
   [ -e "$source" ] || continue
   name="$(basename "$(dirname "$source")")"
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-3/case-$name" "$source"
