--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -16,7 +16,7 @@
     const layout at;
     const deployment_options options;
     const std::string service = "participa";
-    const address route_address{0xc6120001, 8443}; // 198.18.0.1, never sent to
+    const address route_address{at.net + 200, 8443};
     const bool trouble = wants_trouble();
     record.line(trouble ? "with the disruption" : "without the disruption");
 
